--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,34 @@
+import eslint from '@eslint/js'
+import tseslint from 'typescript-eslint'
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  eslint.configs.recommended,
+  ...tseslint.configs.recommended,
+  {
+    rules: {
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_', ignoreRestSiblings: true }],
+      eqeqeq: 'error',
+      'no-console': 'error',
+      'prefer-const': 'error',
+    },
+  },
+  {
+    files: [
+      'packages/proof/src/node/**',
+      'packages/ctl/src/**',
+      'packages/stand-ins/src/node/**',
+      'packages/box/src/node/main.ts',
+    ],
+    rules: { 'no-console': 'off' },
+  },
+  {
+    files: ['**/bin/*.js'],
+    languageOptions: { globals: { process: 'readonly' } },
+  },
+  {
+    files: ['**/test/**'],
+    rules: { '@typescript-eslint/no-unused-expressions': 'off' },
+  },
+)
--- /dev/null
+++ b/packages/box/bin/yewkeel.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runYewkeel } from '../dist/src/node/main.js'
+
+runYewkeel()
--- /dev/null
+++ b/packages/box/src/createBox.ts
@@ -0,0 +1,380 @@
+import {
+  billKey,
+  costOf,
+  createDrainState,
+  createRetryBudget,
+  drainTransition,
+  formatVersion,
+  formatVoter,
+  parseVersion,
+  resolveWitnesses,
+  sleep,
+  takesNewRequests,
+  type Bill,
+  type Clock,
+  type Milliseconds,
+  type Random,
+  type VoterId,
+} from '@yewkeel/decisions'
+import { CallerKeys } from './requests/callerKeys.js'
+import { readUsage } from './requests/eventStream.js'
+import { createRequestHandler } from './requests/handleRequest.js'
+import { AllowanceTask } from './tasks/allowanceTask.js'
+import { BillTask } from './tasks/billTask.js'
+import { ClaimTask } from './tasks/claimTask.js'
+import { ExposureTask } from './tasks/exposureTask.js'
+import { MembershipTask, type HeartbeatContent } from './tasks/membershipTask.js'
+import { PlacementTask } from './tasks/placementTask.js'
+import { QualityTask } from './tasks/qualityTask.js'
+import { StreamFinder } from './tasks/streamFinder.js'
+import { TableTask } from './tasks/tableTask.js'
+import { PoolUses, readText, UpstreamTask } from './tasks/upstreamTask.js'
+import type { BoxServices } from './types/context.js'
+import type { Heartbeat, PeerIdentity, PeerMessage } from './types/peerMessage.js'
+import type {
+  CallerRequest,
+  Log,
+  Metrics,
+  PeerTransport,
+  Platform,
+  Responder,
+  Tracer,
+  UpstreamClient,
+} from './types/ports.js'
+import type { Settings } from './types/settings.js'
+
+/** Everything that a box takes from outside. */
+export interface BoxOptions {
+  settings: Settings
+  identity: PeerIdentity
+  clock: Clock
+  random: Random
+  platform: Platform
+  client: UpstreamClient
+  transport: PeerTransport
+  log: Log
+  metrics: Metrics
+  tracer: Tracer
+}
+
+/** A box: it answers callers, and agrees with the other boxes through the store and their links. */
+export interface Box {
+  readonly identity: PeerIdentity
+  readonly services: BoxServices
+  readonly placement: PlacementTask
+  /** Starts the tasks. Resolves when the upstreams have been asked once. */
+  start(): Promise<void>
+  /** Answers a request of a caller. */
+  handle(request: CallerRequest, responder: Responder): Promise<void>
+  /** A planned stop. Resolves when nothing is in flight and every bill is in the store. */
+  stop(): Promise<void>
+  /** Stops all tasks at once, as a crash would. */
+  kill(): void
+}
+
+const DRAIN_EVERY: Milliseconds = 100
+
+/** Builds a box on what it is given. Nothing runs before `start`. */
+export function createBox(options: BoxOptions): Box {
+  const { settings, identity, clock, random, platform, client, transport, log, metrics } = options
+  const self = formatVoter(identity.box, identity.incarnation)
+  const router = `${identity.box}.${identity.incarnation}.`
+  const drain = createDrainState(settings.addressLifetimeMilliseconds)
+  let openRequests = 0
+  let requests = 0
+
+  const send = (to: VoterId, message: PeerMessage) => void membership.send(to, message)
+  const sendToAll = (message: PeerMessage) => membership.sendToAll(message)
+  const boxCount = () => membership.livePeers().length + 1
+
+  const table = new TableTask({
+    self,
+    table: platform.table,
+    clock,
+    log,
+    send,
+    sendToAll,
+    isPoller: () => membership.isPoller(),
+  })
+  const bills = new BillTask({
+    self,
+    table: platform.table,
+    clock,
+    log,
+    metrics,
+    send,
+    witnesses: () => liveWitnesses(),
+    boxCount,
+    reconcile: bill => reconcile(bill),
+  })
+  const allowances = new AllowanceTask({ table: platform.table, clock, boxCount })
+  const quality = new QualityTask({ clock, random })
+  const exposure = new ExposureTask({
+    self,
+    router,
+    table: platform.table,
+    readRatings: (cursor, name) => platform.readRatings(cursor, name),
+    clock,
+    log,
+    metrics,
+    competingVersions: () => competingVersions(),
+    onRating: (answer, good) => quality.noteRating(answer, good),
+    boxCount,
+  })
+  const upstreams = new UpstreamTask({
+    configured: settings.upstreams,
+    client,
+    clock,
+    log,
+    listMachines: () => platform.listMachines(),
+    onEntryBoxes: names => membership.setListed(names),
+  })
+  exposure.isServed = version => upstreams.isServed(version)
+  const placement = new PlacementTask({
+    self,
+    enabled: settings.placement,
+    table: platform.table,
+    client,
+    clock,
+    log,
+    upstreams,
+    rights: () => table.rights()[0]!,
+    mayAct: () => table.freshness() === 'confirmed',
+    organisations: settings.organisations.map(organisation => organisation.name),
+  })
+  const membership = new MembershipTask({
+    self: identity,
+    seeds: settings.peers.seeds,
+    transport,
+    clock,
+    log,
+    contentFor,
+    onHeartbeat,
+    onMessage: (from, message) => hearPeer(formatVoter(from.box, from.incarnation), message),
+    onConnected(peer) {
+      const voter = formatVoter(peer.box, peer.incarnation)
+      exposure.resetPeer(voter)
+      bills.post({ type: 'peer-connected', peer: voter })
+    },
+    onSilent: voter => loseBox(voter),
+    onGone(voter) {
+      loseBox(voter)
+      table.post({ type: 'voter-gone', voter })
+    },
+  })
+  const streams = new StreamFinder({ clock, findHere: id => bills.find(id), sendToAll })
+
+  const services: BoxServices = {
+    settings,
+    clock,
+    random,
+    log,
+    metrics,
+    tracer: options.tracer,
+    client,
+    keys: new CallerKeys(settings.organisations),
+    table,
+    membership,
+    bills,
+    claims: new ClaimTask({ table: platform.table, clock, log }),
+    upstreams,
+    uses: new PoolUses(),
+    allowances,
+    exposure,
+    quality,
+    streams,
+    retries: createRetryBudget(),
+    strategy: settings.strategy,
+    load: () => openRequests / settings.limits.openRequests,
+    takesNewRequests: () => takesNewRequests(drain),
+  }
+  const handleRequest = createRequestHandler(
+    services,
+    () => `${router}${(++requests).toString(36)}`,
+  )
+
+  function liveWitnesses(): VoterId[] {
+    const others = membership.livePeers().map(({ identity: peer }) => ({
+      voter: formatVoter(peer.box, peer.incarnation),
+      dataCentre: peer.dataCentre,
+    }))
+    return resolveWitnesses({ voter: self, dataCentre: identity.dataCentre }, others)
+  }
+
+  function contentFor(peer: VoterId): HeartbeatContent {
+    const { state } = table
+    const confirmedAge =
+      state.confirmedAt === undefined ? undefined : clock.now() - state.confirmedAt
+    return {
+      revision: state.table.revision,
+      storeOut: table.isStoreOut(),
+      ...(confirmedAge !== undefined && { confirmedAge }),
+      open: [...state.open.values()].map(({ id, content }) => ({ id, content })),
+      ...(state.voters && { voters: state.voters }),
+      load: services.load(),
+      inFlight: upstreams.ownInFlight(),
+      demand: allowances.ownDemand(),
+      evidence: exposure.evidenceFor(peer),
+      halts: [...exposure.halts],
+      emptying: [...placement.emptying],
+    }
+  }
+
+  function onHeartbeat(from: VoterId, heartbeat: Heartbeat, askedAt: Milliseconds): void {
+    const { revision, storeOut, confirmedAge, open, voters } = heartbeat
+    table.post({
+      type: 'peer-word',
+      from,
+      word: {
+        asOf: askedAt,
+        revision,
+        storeOut,
+        ...(confirmedAge !== undefined && { confirmedAt: askedAt - confirmedAge }),
+      },
+      open,
+      ...(voters && { voters }),
+    })
+    upstreams.setPeerInFlight(from, heartbeat.inFlight)
+    allowances.setPeerDemand(from, heartbeat.demand)
+    exposure.hear(heartbeat.evidence, heartbeat.halts)
+    placement.hear(from, heartbeat.emptying)
+  }
+
+  const hearers: { [Type in PeerMessage['type']]?: (from: VoterId, message: never) => void } = {
+    announcement: (from, message: Extract<PeerMessage, { type: 'announcement' }>) =>
+      table.post({ ...message, from }),
+    'announcement-heard': (by, message: Extract<PeerMessage, { type: 'announcement-heard' }>) =>
+      table.post({ ...message, by }),
+    settled: (_from, message: Extract<PeerMessage, { type: 'settled' }>) => table.post(message),
+    'table-request': from => {
+      const { table: copy, voters } = table.state
+      const rows = [...copy.rows.values()]
+      send(from, { type: 'table-reply', revision: copy.revision, rows, ...(voters && { voters }) })
+    },
+    'table-reply': (_from, message: Extract<PeerMessage, { type: 'table-reply' }>) =>
+      table.takeTable(message),
+    hold: (owner, message: Extract<PeerMessage, { type: 'hold' }>) =>
+      bills.post({ ...message, owner }),
+    held(by, message: Extract<PeerMessage, { type: 'held' }>) {
+      const { stage } = message
+      for (const requestId of message.requestIds) bills.post({ type: 'held', requestId, stage, by })
+    },
+    release: (owner, message: Extract<PeerMessage, { type: 'release' }>) =>
+      bills.post({ ...message, owner }),
+    'stream-question'(from, message: Extract<PeerMessage, { type: 'stream-question' }>) {
+      const answer = streams.answer(message.requestId)
+      if (answer) send(from, answer)
+    },
+    'stream-answer': (_from, message: Extract<PeerMessage, { type: 'stream-answer' }>) =>
+      streams.hear(message.requestId, message.bill),
+  }
+
+  function hearPeer(from: VoterId, message: PeerMessage): void {
+    hearers[message.type]?.(from, message as never)
+  }
+
+  /** A box is gone or silent: its bills are taken over, and it no longer counts. */
+  function loseBox(voter: VoterId): void {
+    upstreams.dropPeer(voter)
+    allowances.dropPeer(voter)
+    bills.replaceWitness(voter)
+    bills.post({ type: 'owner-gone', owner: voter, witnesses: liveWitnesses() })
+  }
+
+  /** Asks the engine how a request ended whose box is gone. */
+  async function reconcile(bill: Bill): Promise<Bill | 'void' | undefined> {
+    const standing = await platform.table.read([billKey(bill.requestId)])
+    if (standing.outcome === 'read' && standing.rows.length > 0) return 'void'
+    const view = bill.stream && upstreams.views.get(bill.stream.upstream)
+    if (!bill.stream || !view) return closeWith(bill, undefined)
+    try {
+      const path = `/v1/streams/${encodeURIComponent(bill.stream.id)}?status=only`
+      const answer = await client.send(view.address, { method: 'GET', path, headers: {} })
+      const text = await readText(answer.body)
+      if (answer.status === 404) return closeWith(bill, undefined)
+      if (!(JSON.parse(text) as { done: boolean }).done) return undefined
+      return closeWith(bill, text)
+    } catch {
+      return undefined
+    }
+  }
+
+  /** What earlier stages cost stays; the last stream costs what the engine counted. */
+  function closeWith(bill: Bill, text: string | undefined): Bill | 'void' {
+    const usage = text === undefined ? undefined : readUsage(text)
+    const served = bill.stream?.id.split('/').at(-2) ?? ''
+    const version = parseVersion(served)
+    if (!usage || !version) {
+      // A service call may have run; an engine that knows no such stream has run nothing that can be billed.
+      return bill.lines.length > 0 || !version ? { ...bill, outcome: 'cut-off' } : 'void'
+    }
+    const cost = costOf(table.rights()[0]!.priceOf(version), usage)
+    const line = { ...version, upstream: bill.stream!.upstream, usage, cost }
+    return { ...bill, outcome: 'cut-off', lines: [...bill.lines, line] }
+  }
+
+  function competingVersions(): string[][] {
+    const rights = table.rights()[0]!
+    const models = new Map<string, Set<string>>()
+    for (const row of table.state.table.rows.values()) {
+      if (row.row !== 'version' || row.state !== 'active' || row.weight <= 0) continue
+      const versions = models.get(row.model) ?? new Set()
+      models.set(row.model, versions)
+      if (rights.rightOf(row.organisation, row) === 'new-work') versions.add(formatVersion(row))
+    }
+    return [...models.values()].map(versions => [...versions])
+  }
+
+  function stopTasks(): void {
+    table.stop()
+    bills.stop()
+    upstreams.stop()
+    exposure.stop()
+    placement.stop()
+  }
+
+  return {
+    identity,
+    services,
+    placement,
+    async start() {
+      membership.start()
+      table.start()
+      bills.start()
+      exposure.start()
+      placement.start()
+      await upstreams.start()
+      membership.setState('serving')
+      log.info({ box: identity.box, incarnation: identity.incarnation }, 'the box serves')
+    },
+    async handle(request, responder) {
+      openRequests++
+      try {
+        await handleRequest(request, responder)
+      } finally {
+        openRequests--
+      }
+    },
+    async stop() {
+      const tell = (message: Parameters<typeof drainTransition>[1]) =>
+        drainTransition(drain, message, clock.now())
+      tell({ type: 'stop-asked' })
+      membership.setState('leaving')
+      log.info({}, 'the box leaves the list of addresses')
+      while (drain.step !== 'stopped') {
+        if (drain.step === 'flushing') await bills.flushAll()
+        tell({ type: 'in-flight', count: openRequests })
+        tell({ type: 'unwritten-bills', count: bills.unwritten })
+        await sleep(clock, DRAIN_EVERY)
+      }
+      await allowances.giveBack()
+      stopTasks()
+      membership.stop()
+      log.info({}, 'the box has stopped')
+    },
+    kill() {
+      stopTasks()
+      membership.halt()
+    },
+  }
+}
--- /dev/null
+++ b/packages/box/src/node/httpPlatform.ts
@@ -0,0 +1,161 @@
+import type {
+  CommitOutcome,
+  Milliseconds,
+  ReadOutcome,
+  StoreRow,
+  StoreTransaction,
+  TableService,
+} from '@yewkeel/decisions'
+import {
+  UpstreamFailure,
+  type ListedMachine,
+  type Platform,
+  type Rating,
+  type UpstreamClient,
+} from '../types/ports.js'
+import { readText } from '../tasks/upstreamTask.js'
+
+const PATIENCE: Milliseconds = 3_000
+
+interface EncodedRow {
+  key: string
+  value: string
+  mod_revision: string
+}
+
+/** Addresses of the platform's services. */
+export interface PlatformAddresses {
+  table: string
+  boxList?: string | undefined
+  ratings?: string | undefined
+}
+
+/** The platform over HTTP. */
+export function createHttpPlatform(client: UpstreamClient, addresses: PlatformAddresses): Platform {
+  return {
+    table: createHttpTable(client, addresses.table),
+    async listMachines() {
+      if (!addresses.boxList) return undefined
+      const answer = await getJson<{ boxes: ListedMachine[] }>(client, addresses.boxList, '/boxes')
+      return answer?.boxes
+    },
+    async readRatings(cursor, router) {
+      if (!addresses.ratings) return undefined
+      const path = `/ratings?after=${cursor}&router=${encodeURIComponent(router)}`
+      return getJson<{ ratings: Rating[]; cursor: number }>(client, addresses.ratings, path)
+    },
+  }
+}
+
+/**
+ * The table service in the published JSON form of the etcd version 3 interface. Rows are compared by their
+ * modification revision, which is 0 for an absent row.
+ */
+export function createHttpTable(client: UpstreamClient, address: string): TableService {
+  const post = (path: string, body: object) => postJson(client, address, path, body)
+  const range = async (body: object): Promise<ReadOutcome> => {
+    try {
+      const { kvs = [] } = (await post('/v3/kv/range', body)) as { kvs?: EncodedRow[] }
+      return { outcome: 'read', rows: kvs.map(decodeRow) }
+    } catch {
+      return { outcome: 'unavailable' }
+    }
+  }
+  return {
+    async read(keys) {
+      const answers = await Promise.all(keys.map(key => range({ key: encode(key) })))
+      const rows: StoreRow[] = []
+      for (const answer of answers) {
+        if (answer.outcome !== 'read') return answer
+        rows.push(...answer.rows)
+      }
+      return { outcome: 'read', rows }
+    },
+    list(prefix, { after, limit } = {}) {
+      return range({
+        key: encode(after !== undefined ? `${after}\0` : prefix),
+        range_end: encode(endOfPrefix(prefix)),
+        ...(limit !== undefined && { limit }),
+      })
+    },
+    async commit(transaction): Promise<CommitOutcome> {
+      try {
+        const answer = await post('/v3/kv/txn', encodeTransaction(transaction))
+        return (answer as { succeeded?: boolean }).succeeded ? 'committed' : 'conflict'
+      } catch (error) {
+        return error instanceof UpstreamFailure && error.sent === 'no' ? 'unavailable' : 'unknown'
+      }
+    },
+  }
+}
+
+async function postJson(
+  client: UpstreamClient,
+  address: string,
+  path: string,
+  body: object,
+): Promise<unknown> {
+  const answer = await client.send(
+    address,
+    {
+      method: 'POST',
+      path,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    },
+    AbortSignal.timeout(PATIENCE),
+  )
+  const text = await readText(answer.body)
+  // A server error does not say whether the write took effect.
+  if (answer.status !== 200) throw new UpstreamFailure('maybe', `status ${answer.status}`)
+  return JSON.parse(text)
+}
+
+async function getJson<T>(
+  client: UpstreamClient,
+  address: string,
+  path: string,
+): Promise<T | undefined> {
+  try {
+    const signal = AbortSignal.timeout(PATIENCE)
+    const answer = await client.send(address, { method: 'GET', path, headers: {} }, signal)
+    const text = await readText(answer.body)
+    return answer.status === 200 ? (JSON.parse(text) as T) : undefined
+  } catch {
+    return undefined
+  }
+}
+
+function encodeTransaction({ conditions, writes }: StoreTransaction): object {
+  return {
+    compare: conditions.map(({ key, version }) => ({
+      key: encode(key),
+      target: 'MOD',
+      result: 'EQUAL',
+      mod_revision: String(version),
+    })),
+    success: writes.map(({ key, value }) =>
+      value === undefined
+        ? { request_delete_range: { key: encode(key) } }
+        : { request_put: { key: encode(key), value: encode(value) } },
+    ),
+  }
+}
+
+function decodeRow(row: EncodedRow): StoreRow {
+  return { key: decode(row.key), value: decode(row.value), version: Number(row.mod_revision) }
+}
+
+/** The first key after all that start with the prefix. */
+function endOfPrefix(prefix: string): string {
+  const last = prefix.charCodeAt(prefix.length - 1)
+  return prefix.slice(0, -1) + String.fromCharCode(last + 1)
+}
+
+function encode(text: string): string {
+  return Buffer.from(text).toString('base64')
+}
+
+function decode(text: string): string {
+  return Buffer.from(text, 'base64').toString()
+}
--- /dev/null
+++ b/packages/box/src/node/upstreamClient.ts
@@ -0,0 +1,67 @@
+import { Pool, type Dispatcher } from 'undici'
+import {
+  UpstreamFailure,
+  type Sent,
+  type UpstreamAnswer,
+  type UpstreamClient,
+  type UpstreamRequest,
+} from '../types/ports.js'
+
+const CONNECT_PATIENCE = 2_000
+const KEPT_ALIVE = 30_000
+
+/** Errors that come before a byte of the request has left. */
+const NOT_SENT = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** Speaks HTTP to upstreams, with a pool of kept connections for each. */
+export class HttpUpstreamClient implements UpstreamClient {
+  readonly #pools = new Map<string, Pool>()
+
+  async send(
+    address: string,
+    request: UpstreamRequest,
+    signal?: AbortSignal,
+  ): Promise<UpstreamAnswer> {
+    try {
+      const answer = await this.#poolOf(address).request({
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers,
+        body: request.body ?? null,
+        // A request that may not run twice is never pipelined behind another and never sent again.
+        idempotent: false,
+        ...(signal && { signal }),
+      })
+      return {
+        status: answer.statusCode,
+        headers: answer.headers as Record<string, string>,
+        body: answer.body,
+      }
+    } catch (error) {
+      throw new UpstreamFailure(sentOf(error), String(error))
+    }
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.#pools.values()].map(pool => pool.destroy()))
+  }
+
+  #poolOf(address: string): Pool {
+    const known = this.#pools.get(address)
+    if (known) return known
+    const created = new Pool(`http://${address}`, {
+      connect: { timeout: CONNECT_PATIENCE },
+      keepAliveTimeout: KEPT_ALIVE,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    })
+    this.#pools.set(address, created)
+    return created
+  }
+}
+
+function sentOf(error: unknown): Sent {
+  const { code } = error as { code?: string }
+  return code !== undefined && NOT_SENT.has(code) ? 'no' : 'maybe'
+}
--- /dev/null
+++ b/packages/box/src/requests/answerCompletion.ts
@@ -0,0 +1,225 @@
+import {
+  costOf,
+  formatVersion,
+  prefixBlocks,
+  refuseNotRun,
+  type ModelVersion,
+  type Refusal,
+  type RequestOutlook,
+} from '@yewkeel/decisions'
+import { Result } from 'true-myth'
+import type { RequestContext, SendPlan } from '../types/context.js'
+import type { UpstreamRequest } from '../types/ports.js'
+import { answerRefusal } from './answerRefusal.js'
+import { BillKeeper } from './billKeeper.js'
+import { refuseStaleTable } from './filters.js'
+import { parseCompletion, type Completion } from './parseCompletion.js'
+import { relayCompletion } from './relayCompletion.js'
+import { checkVersion, resolveSession, type SessionVersions } from './resolveSession.js'
+import { judgeStage } from './judgeStage.js'
+import type { SendOptions } from './sendToUpstream.js'
+
+/** The model name that leaves the choice to the cascade of the request's kind. */
+const AUTO = 'auto'
+const PRIORITY_NUMBERS = { high: 0, normal: 5, low: 10 }
+const USUAL_ANSWER_TOKENS = 256
+const USUAL_TOKEN_MILLISECONDS = 30
+
+/** A completion on its way through its stages. */
+export interface CompletionTask {
+  context: RequestContext
+  completion: Completion
+  versions: SessionVersions
+  bill: BillKeeper
+  /** Prefix blocks of the prompt, in which cache look-ups are made. */
+  blocks: number[]
+  excluded: Set<string>
+}
+
+/** Answers a chat completion, plain or streaming, through one model or a cascade of them. */
+export async function answerCompletion(context: RequestContext): Promise<void> {
+  const { services, responder, request, id, organisation, limit } = context
+  const refuse = (refusal: Refusal) => answerRefusal(responder, refusal, id)
+  const parsed = parseCompletion(request.body, request.headers)
+  if (parsed.isErr) return refuse(parsed.error)
+  const session = resolveSession(context)
+  if (session.isErr) return refuse(session.error)
+  const completion = parsed.value
+  const stages = resolveStages(context, completion)
+  if (stages.isErr) return refuse(stages.error)
+
+  const reserved = reservationFor(context, completion, stages.value)
+  const reservation = await services.allowances.reserve(organisation, limit, reserved)
+  if (reservation !== 'reserved') return refuse(refuseSpend(reservation))
+  const task: CompletionTask = {
+    context,
+    completion,
+    versions: session.value,
+    bill: new BillKeeper(context),
+    blocks: prefixBlocks(organisation, completion.prompt),
+    excluded: new Set(),
+  }
+  const refusal = await runStages(task, stages.value)
+  services.allowances.settle(organisation, limit, reserved, task.bill.cost)
+  if (!refusal) return
+  await task.bill.giveUp()
+  refuse(refusal)
+}
+
+/** Runs stages until one has answered the caller. Gives a refusal when nothing has gone to the caller. */
+async function runStages(
+  task: CompletionTask,
+  models: readonly string[],
+): Promise<Refusal | undefined> {
+  const { context, completion } = task
+  const choice = context.services.quality.choose(
+    context.limit,
+    context.organisation,
+    completion.kind,
+    models.map(model => stageCosts(task, model)),
+    mayWaitForJudging(context, completion),
+  )
+  for (let stage = choice.start; stage < models.length; stage++) {
+    const version = task.versions.versionOf(models[stage]!)
+    if (version.isErr) return version.error
+    const isLast = stage === models.length - 1
+    if (isLast || !choice.isJudged(stage)) return relayCompletion(task, version.value)
+    const judged = await judgeStage(task, version.value, confidence =>
+      choice.accepts(stage, confidence),
+    )
+    if (judged.isErr) return judged.error
+    if (judged.value === 'answered') return undefined
+  }
+  return refuseNotRun('not-allowed', 'the cascade has no stage')
+}
+
+/** The models that may answer, the cheapest first. */
+function resolveStages(
+  context: RequestContext,
+  { body, kind }: Completion,
+): Result<readonly string[], Refusal> {
+  const [rights] = context.rights
+  if (body.model !== AUTO) return Result.ok([body.model])
+  const stages = rights?.stagesOf(context.organisation, kind)
+  if (stages) return Result.ok(stages)
+  return Result.err(
+    refuseNotRun(
+      'bad-request',
+      `there is no cascade for kind "${kind}"; name a model, or add a cascade row`,
+    ),
+  )
+}
+
+/** Streams of organisations that weigh latency most are not held back. */
+function mayWaitForJudging({ limit }: RequestContext, { body }: Completion): boolean {
+  return !(body.stream && limit.weighs === 'latency')
+}
+
+function stageCosts(task: CompletionTask, model: string) {
+  const { context, completion } = task
+  const rows = context.rights[0]?.versionsOf(context.organisation, model) ?? []
+  const version = { model, version: rows[0]?.version ?? '*' }
+  const completionTokens = Math.min(USUAL_ANSWER_TOKENS, completion.largestAnswer)
+  const usage = { promptTokens: completion.promptTokens, completionTokens }
+  return {
+    model,
+    cost: costOf(context.rights[0]!.priceOf(version), usage),
+    wholeAnswerMilliseconds: completionTokens * USUAL_TOKEN_MILLISECONDS,
+  }
+}
+
+/** The most that a request may cost: every stage asked, every answer as long as it may be. */
+function reservationFor(
+  context: RequestContext,
+  { promptTokens, largestAnswer }: Completion,
+  models: readonly string[],
+): number {
+  const usage = { promptTokens, completionTokens: largestAnswer }
+  const [rights] = context.rights
+  return models.reduce((sum, model) => {
+    const rows = rights!.versionsOf(context.organisation, model)
+    const costs = rows.map(row => costOf(rights!.priceOf(row), usage))
+    return sum + Math.max(0, ...costs)
+  }, 0)
+}
+
+function refuseSpend(reservation: 'exhausted' | 'store-out'): Refusal {
+  if (reservation === 'store-out') {
+    return refuseNotRun(
+      'store-out',
+      'this box has used up what it had drawn of the spend limit, and the store does not answer',
+      2_000,
+    )
+  }
+  return refuseNotRun('spend-exhausted', 'the organisation has spent its limit for today')
+}
+
+/** How a completion is sent to an engine. `extra` overrides fields of the caller's body. */
+export function sendOptionsFor(
+  task: CompletionTask,
+  version: ModelVersion,
+  extra: Record<string, unknown>,
+): SendOptions {
+  const { context, completion, blocks, excluded, bill } = task
+  const { services, limit } = context
+  const served = formatVersion(version)
+  const cached = services.upstreams.prefixes.match(blocks)
+  const plan: SendPlan = {
+    served,
+    mayRepeat: true,
+    admission: {
+      organisation: context.organisation,
+      priority: limit.priority,
+      isCall: false,
+      deadline: context.receivedAt + services.settings.limits.firstTokenMilliseconds,
+    },
+  }
+  const outlook: RequestOutlook = {
+    dataCentre: services.settings.dataCentre,
+    promptTokens: completion.promptTokens,
+    cachedTokensOf: upstream => cached.get(upstream) ?? 0,
+  }
+  return {
+    plan,
+    outlook,
+    affine: [...cached.keys()].flatMap(id => services.upstreams.views.get(id) ?? []),
+    excluded,
+    buildRequest: (_view, streamId) => buildRequest(task, served, streamId, extra),
+    checkBefore: () => checkBefore(context, version),
+    onChosen(view, streamId) {
+      bill.open(view.id, streamId)
+      services.upstreams.prefixes.note(blocks, view.id)
+    },
+  }
+}
+
+/** A paused box wakes here: the table is looked at again before each try. */
+function checkBefore(context: RequestContext, version: ModelVersion): Refusal | undefined {
+  const stale = refuseStaleTable(context)
+  if (stale) return stale
+  const rights = context.services.table.rights()
+  return checkVersion({ rights, organisation: context.organisation }, version)
+}
+
+function buildRequest(
+  { context, completion }: CompletionTask,
+  served: string,
+  streamId: string,
+  extra: Record<string, unknown>,
+): UpstreamRequest {
+  const { body, kind, largestAnswer } = completion
+  return {
+    method: 'POST',
+    path: '/v1/chat/completions',
+    headers: { 'content-type': 'application/json', 'x-request-id': streamId },
+    body: JSON.stringify({
+      ...body,
+      model: served,
+      max_tokens: largestAnswer,
+      priority: PRIORITY_NUMBERS[context.limit.priority],
+      metadata: { ...body.metadata, kind },
+      ...(body.stream && { stream_options: { include_usage: true } }),
+      ...extra,
+    }),
+  }
+}
--- /dev/null
+++ b/packages/box/src/requests/relayCompletion.ts
@@ -0,0 +1,293 @@
+import {
+  formatVersion,
+  refuseMayHaveRun,
+  type ModelVersion,
+  type Refusal,
+  type Usage,
+} from '@yewkeel/decisions'
+import type { RequestContext } from '../types/context.js'
+import { readText } from '../tasks/upstreamTask.js'
+import { sendOptionsFor, type CompletionTask } from './answerCompletion.js'
+import { endStreamWithRefusal } from './answerRefusal.js'
+import { lastEventId, modelOf, readUsage, splitEnd, usageIn, wholeEvents } from './eventStream.js'
+import { sendToUpstream, type OpenAnswer } from './sendToUpstream.js'
+
+const RESUME_TRIES = 2
+const LARGEST_WRONG_ANSWERS = 3
+
+/** Passes an engine's answer on to the caller. Gives a refusal only when nothing has gone to the caller. */
+export async function relayCompletion(
+  task: CompletionTask,
+  version: ModelVersion,
+): Promise<Refusal | undefined> {
+  const { context } = task
+  for (let tries = 0; tries < LARGEST_WRONG_ANSWERS; tries++) {
+    const sent = await sendToUpstream(context, sendOptionsFor(task, version, {}))
+    if (sent.isErr) return sent.error
+    const relay = task.completion.body.stream ? relayStream : relayWhole
+    const outcome = await relay(task, version, sent.value)
+    if (outcome !== 'wrong-version') return outcome
+    context.services.upstreams.noteLie(sent.value.view, formatVersion(version))
+    task.excluded.add(sent.value.view.id)
+  }
+  return refuseUnproved(version)
+}
+
+type RelayOutcome = Refusal | undefined | 'wrong-version'
+
+/** Nothing of an answer goes out before it says which version it comes from. */
+async function relayWhole(
+  task: CompletionTask,
+  version: ModelVersion,
+  open: OpenAnswer,
+): Promise<RelayOutcome> {
+  const { context, bill } = task
+  let text: string
+  try {
+    text = await readText(open.answer.body)
+  } catch (error) {
+    open.release('badly')
+    return refuseCut(open, error)
+  }
+  open.release('well')
+  if (open.answer.status >= 400) return relayClientError(context, open, text)
+  if (modelOf(text) !== formatVersion(version)) return 'wrong-version'
+  await bill.whenOpenIsSafe()
+  bill.addLine(version, open.view.id, readUsage(text) ?? NO_USAGE)
+  const safe = bill.close('answered')
+  noteServed(task, version, open)
+  context.responder.start(200, answerHeaders(task, open, version, 'application/json'))
+  await safe
+  context.responder.end(text)
+  return undefined
+}
+
+const NO_USAGE: Usage = { promptTokens: 0, completionTokens: 0 }
+
+/** What a stream has come to. */
+interface StreamProgress {
+  started: boolean
+  lastId: number
+  usage?: Usage
+  ended: boolean
+}
+
+async function relayStream(
+  task: CompletionTask,
+  version: ModelVersion,
+  open: OpenAnswer,
+): Promise<RelayOutcome> {
+  const { context } = task
+  if (open.answer.status >= 400) {
+    open.release('well')
+    return relayClientError(context, open, await readText(open.answer.body))
+  }
+  const progress: StreamProgress = { started: false, lastId: 0, ended: false }
+  let body: AsyncIterable<Uint8Array> | undefined = open.answer.body
+  for (let tries = 0; body; tries++) {
+    const outcome = await pass(task, version, open, body, progress)
+    if (outcome === 'wrong-version') {
+      open.release('well')
+      return outcome
+    }
+    if (progress.ended) return undefined
+    if (context.request.signal.aborted) return cancel(task, version, open)
+    body = tries < RESUME_TRIES ? await resume(context, open, progress.lastId) : undefined
+  }
+  open.release('badly')
+  if (!progress.started) return refuseCut(open, 'the stream ended before it began')
+  await endCutOff(task, version, open, progress)
+  return undefined
+}
+
+/** Passes pieces on until the body ends, breaks, or the caller has gone. */
+async function pass(
+  task: CompletionTask,
+  version: ModelVersion,
+  open: OpenAnswer,
+  body: AsyncIterable<Uint8Array>,
+  progress: StreamProgress,
+): Promise<'wrong-version' | undefined> {
+  const { context, completion, bill } = task
+  const { responder, request } = context
+  const keepUsage = completion.body.stream_options?.include_usage === true
+  try {
+    for await (const piece of wholeEvents(body)) {
+      if (!progress.started) {
+        if (modelOf(piece) !== formatVersion(version)) return 'wrong-version'
+        await bill.whenOpenIsSafe()
+        responder.start(200, answerHeaders(task, open, version, 'text/event-stream'))
+        progress.started = true
+        noteServed(task, version, open)
+        context.services.metrics.timing(
+          'first_token',
+          context.services.clock.now() - context.receivedAt,
+        )
+      }
+      const end = splitEnd(piece, keepUsage)
+      if (end) {
+        const usage = end.usage ?? progress.usage
+        if (usage) progress.usage = usage
+        await finish(task, version, open, progress, end.before, end.end)
+        return undefined
+      }
+      progress.lastId = lastEventId(piece) ?? progress.lastId
+      progress.usage = usageIn(piece) ?? progress.usage
+      await responder.write(piece)
+      if (request.signal.aborted) return undefined
+    }
+  } catch {
+    // The stream broke; what came whole has been passed on and the rest can be asked for again.
+  }
+  return undefined
+}
+
+/** The end goes out when the closed bill survives the loss of this box. */
+async function finish(
+  { context, bill }: CompletionTask,
+  version: ModelVersion,
+  open: OpenAnswer,
+  progress: StreamProgress,
+  before: Buffer,
+  end: Buffer,
+): Promise<void> {
+  open.release('well')
+  const usage = progress.usage ?? { promptTokens: 0, completionTokens: progress.lastId }
+  bill.addLine(version, open.view.id, usage)
+  const safe = bill.close('answered')
+  if (before.length > 0) await context.responder.write(before)
+  await safe
+  context.responder.end(end)
+  progress.ended = true
+}
+
+/** Asks the engine for the rest of a stream that broke. */
+async function resume(
+  { services }: RequestContext,
+  open: OpenAnswer,
+  after: number,
+): Promise<AsyncIterable<Uint8Array> | undefined> {
+  services.metrics.count('upstream.resumes')
+  try {
+    const path = `/v1/streams/${encodeURIComponent(open.streamId)}?after=${after}`
+    const answer = await services.client.send(open.view.address, {
+      method: 'GET',
+      path,
+      headers: {},
+    })
+    return answer.status === 200 ? answer.body : undefined
+  } catch {
+    return undefined
+  }
+}
+
+/** The caller has hung up: the engine stops, and what it has made is billed. */
+async function cancel(
+  { context, bill }: CompletionTask,
+  version: ModelVersion,
+  open: OpenAnswer,
+): Promise<undefined> {
+  const usage = await cancelStream(context, open)
+  open.release('well')
+  bill.addLine(version, open.view.id, usage ?? NO_USAGE)
+  void bill.close('cancelled')
+  context.responder.end()
+  return undefined
+}
+
+async function cancelStream(
+  { services }: RequestContext,
+  open: OpenAnswer,
+): Promise<Usage | undefined> {
+  try {
+    const path = `/v1/streams/${encodeURIComponent(open.streamId)}`
+    const answer = await services.client.send(open.view.address, {
+      method: 'DELETE',
+      path,
+      headers: {},
+    })
+    return readUsage(await readText(answer.body))
+  } catch {
+    return undefined
+  }
+}
+
+async function endCutOff(
+  { context, bill, completion }: CompletionTask,
+  version: ModelVersion,
+  open: OpenAnswer,
+  progress: StreamProgress,
+): Promise<void> {
+  const estimate = { promptTokens: completion.promptTokens, completionTokens: progress.lastId }
+  bill.addLine(version, open.view.id, progress.usage ?? estimate)
+  await bill.close('cut-off')
+  endStreamWithRefusal(context.responder, {
+    verdict: 'ran',
+    reason: 'upstream-failed',
+    message: `the upstream ${open.view.id} broke off and the rest could not be had`,
+  })
+}
+
+/** An engine refused the request itself: the caller gets the engine's words. It did not run. */
+function relayClientError(
+  { responder, services, id }: RequestContext,
+  open: OpenAnswer,
+  text: string,
+): undefined {
+  services.bills.void(id)
+  responder.start(open.answer.status, {
+    'content-type': open.answer.headers['content-type'] ?? 'application/json',
+    'x-request-id': id,
+    'yewkeel-verdict': 'not-run',
+  })
+  responder.end(text)
+  return undefined
+}
+
+/** Headers that say who answered. */
+export function answerHeaders(
+  { context, versions }: CompletionTask,
+  open: OpenAnswer,
+  version: ModelVersion,
+  contentType: string,
+): Record<string, string> {
+  return {
+    'content-type': contentType,
+    'cache-control': 'no-cache',
+    'x-request-id': context.id,
+    'yewkeel-version': formatVersion(version),
+    'yewkeel-upstream': open.view.id,
+    ...versions.headers(),
+  }
+}
+
+/** Counts the answer as evidence-to-come of its version. */
+export function noteServed(
+  { context, completion }: CompletionTask,
+  version: ModelVersion,
+  open: OpenAnswer,
+  bucket?: number,
+): void {
+  context.services.exposure.noteServed(open.streamId, {
+    organisation: context.organisation,
+    kind: completion.kind,
+    ...version,
+    ...(bucket !== undefined && { bucket }),
+  })
+}
+
+function refuseCut(open: OpenAnswer, error: unknown): Refusal {
+  return refuseMayHaveRun(
+    'upstream-failed',
+    `the upstream ${open.view.id} broke off: ${String(error)}`,
+    1_000,
+  )
+}
+
+function refuseUnproved(version: ModelVersion): Refusal {
+  return refuseMayHaveRun(
+    'upstream-failed',
+    `the upstreams answered for other versions than ${formatVersion(version)}; no byte of that was passed on`,
+    1_000,
+  )
+}
--- /dev/null
+++ b/packages/box/src/requests/sendToUpstream.ts
@@ -0,0 +1,209 @@
+import {
+  admit,
+  chooseUpstream,
+  earnRetry,
+  noteEnded,
+  noteFailure,
+  noteFirstToken,
+  noteSent,
+  noteSuccess,
+  predictFirstToken,
+  predictQueue,
+  refuseMayHaveRun,
+  refuseNotRun,
+  spendRetry,
+  type Milliseconds,
+  type Refusal,
+  type RequestOutlook,
+  type UpstreamView,
+} from '@yewkeel/decisions'
+import { Result } from 'true-myth'
+import type { RequestContext, SendPlan } from '../types/context.js'
+import { UpstreamFailure, type UpstreamAnswer, type UpstreamRequest } from '../types/ports.js'
+
+/** An answer that has begun at an upstream. `release` is called once, when it has ended. */
+export interface OpenAnswer {
+  view: UpstreamView
+  answer: UpstreamAnswer
+  streamId: string
+  release(ended: 'well' | 'badly'): void
+}
+
+export interface SendOptions {
+  plan: SendPlan
+  outlook: RequestOutlook
+  /** Upstreams that hold part of the prompt. */
+  affine: readonly UpstreamView[]
+  /** Upstreams that failed this request before; shared by the tries of one request. */
+  excluded: Set<string>
+  buildRequest(view: UpstreamView, streamId: string): UpstreamRequest
+  /** Last look before the request leaves: what held when it came may no longer hold. */
+  checkBefore(): Refusal | undefined
+  /** Called when the upstream is chosen, before the request leaves. */
+  onChosen(view: UpstreamView, streamId: string): void
+}
+
+const LARGEST_TRIES = 3
+const NO_UPSTREAM_RETRY: Milliseconds = 1_000
+
+/** Statuses by which an upstream says that it did not take the request. */
+const NOT_TAKEN = new Set([404, 409, 429, 503])
+
+/**
+ * Sends a request to the best upstream. A try that is known not to have been taken may be made again
+ * elsewhere; one that may have run is made again only if the request may be repeated. Both are paid for from
+ * the retry budget.
+ */
+export async function sendToUpstream(
+  context: RequestContext,
+  options: SendOptions,
+): Promise<Result<OpenAnswer, Refusal>> {
+  const { services } = context
+  for (let tries = 1; ; tries++) {
+    const view = pickUpstream(context, options, tries)
+    if (!view) return Result.err(refuseNoUpstream(options.plan))
+    const refusal = admitTo(context, options, view) ?? options.checkBefore()
+    if (refusal) return Result.err(refusal)
+    const sent = await sendOnce(context, options, view, tries)
+    if (sent.isOk) {
+      earnRetry(services.retries)
+      return Result.ok(sent.value)
+    }
+    options.excluded.add(view.id)
+    const mayTryAgain = sent.error.verdict === 'not-run' || options.plan.mayRepeat
+    const isLast = tries >= LARGEST_TRIES || !mayTryAgain || context.request.signal.aborted
+    if (isLast || !spendRetry(services.retries)) return Result.err(sent.error)
+    services.metrics.count('upstream.retries')
+  }
+}
+
+function pickUpstream(
+  { services }: RequestContext,
+  options: SendOptions,
+  turn: number,
+): UpstreamView | undefined {
+  return chooseUpstream(services.strategy, {
+    pool: services.upstreams.poolOf(options.plan.served),
+    affine: options.affine,
+    request: options.outlook,
+    excluded: options.excluded,
+    now: services.clock.now(),
+    random: services.random,
+    turn,
+  })
+}
+
+function admitTo(
+  { services, organisation, limit }: RequestContext,
+  { plan, outlook }: SendOptions,
+  view: UpstreamView,
+): Refusal | undefined {
+  const uses = services.uses.usesOf(plan.served)
+  const own = uses.get(organisation)
+  if (own) own.share = limit.share
+  const pool = {
+    firstToken: predictFirstToken(view, outlook),
+    utilisation: services.upstreams.utilisationOf(plan.served),
+    uses,
+  }
+  return admit(plan.admission, pool, services.clock.now())
+}
+
+async function sendOnce(
+  context: RequestContext,
+  options: SendOptions,
+  view: UpstreamView,
+  tries: number,
+): Promise<Result<OpenAnswer, Refusal>> {
+  const { services, organisation, limit, request } = context
+  const { plan } = options
+  const streamId = `${context.id}/${plan.served}/${tries}`
+  const queue = predictQueue(view)
+  const sentAt = services.clock.now()
+  const span = services.tracer.start(`upstream ${view.id}`, context.span)
+  span.set({ 'upstream.id': view.id, 'upstream.served': plan.served })
+  options.onChosen(view, streamId)
+  noteSent(view, sentAt)
+  services.uses.add(plan.served, organisation, limit.share)
+
+  const release = once((ended: 'well' | 'badly') => {
+    noteEnded(view)
+    services.uses.remove(plan.served, organisation)
+    if (ended === 'well') noteSuccess(view, services.clock.now() - sentAt)
+    else noteFailure(view, services.clock.now())
+    span.end(ended === 'badly' ? 'the upstream failed' : undefined)
+  })
+  const patience = startPatience(context, plan.admission.deadline)
+  try {
+    const built = options.buildRequest(view, streamId)
+    if (span.traceparent) built.headers.traceparent = span.traceparent
+    const answer = await services.client.send(view.address, built, patience.signal)
+    if (answer.status >= 500 || NOT_TAKEN.has(answer.status)) {
+      release(answer.status === 429 || answer.status === 404 ? 'well' : 'badly')
+      return Result.err(
+        refuseFailed(view, `answered with status ${answer.status}`, NOT_TAKEN.has(answer.status)),
+      )
+    }
+    noteFirstToken(view, services.clock.now() - sentAt, queue)
+    return Result.ok({ view, answer, streamId, release })
+  } catch (error) {
+    release(request.signal.aborted ? 'well' : 'badly')
+    const failure =
+      error instanceof UpstreamFailure ? error : new UpstreamFailure('maybe', String(error))
+    if (patience.expired) return Result.err(refuseLate(failure))
+    return Result.err(refuseFailed(view, failure.message, failure.sent === 'no'))
+  } finally {
+    patience.stop()
+  }
+}
+
+/** Aborts when the caller hangs up, or the first token's deadline passes. */
+function startPatience({ services, request }: RequestContext, deadline: Milliseconds) {
+  const controller = new AbortController()
+  const abort = () => controller.abort()
+  request.signal.addEventListener('abort', abort)
+  const patience = {
+    signal: controller.signal,
+    expired: false,
+    stop() {
+      timer.cancel()
+      request.signal.removeEventListener('abort', abort)
+    },
+  }
+  const timer = services.clock.after(deadline - services.clock.now(), () => {
+    patience.expired = true
+    abort()
+  })
+  return patience
+}
+
+function refuseNoUpstream(plan: SendPlan): Refusal {
+  return refuseNotRun(
+    'no-upstream',
+    `no upstream takes work for ${plan.served} now`,
+    NO_UPSTREAM_RETRY,
+  )
+}
+
+function refuseFailed(view: UpstreamView, what: string, notRun: boolean): Refusal {
+  const refuse = notRun ? refuseNotRun : refuseMayHaveRun
+  return refuse('upstream-failed', `the upstream ${view.id} failed: ${what}`, NO_UPSTREAM_RETRY)
+}
+
+function refuseLate(failure: UpstreamFailure): Refusal {
+  const refuse = failure.sent === 'no' ? refuseNotRun : refuseMayHaveRun
+  return refuse(
+    'deadline-passed',
+    'the upstream did not begin to answer in time',
+    NO_UPSTREAM_RETRY,
+  )
+}
+
+function once<Argument>(run: (argument: Argument) => void): (argument: Argument) => void {
+  let isDone = false
+  return argument => {
+    if (isDone) return
+    isDone = true
+    run(argument)
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/choice/cascadePlan.ts
@@ -0,0 +1,89 @@
+/**
+ * Where a request starts in its cascade and when it goes on to the next model. The plan is the least of
+ * expected cost plus what a bad answer is held to cost, worked backwards from the last stage. The price of a
+ * bad answer is what moves: it rises while the served quality is under the organisation's target.
+ */
+import {
+  bucketShares,
+  CONFIDENCE_BUCKETS,
+  goodShare,
+  goodShareInBucket,
+  type QualityCounts,
+} from './qualityEstimates.js'
+
+/** What is known of one stage for a kind of request. */
+export interface StageOutlook {
+  model: string
+  counts: QualityCounts
+  /** Expected cost of one answer, millionths of a currency unit. */
+  cost: number
+  /** Expected time of a whole answer: what the caller waits when the stage is judged and thrown away. */
+  wholeAnswerMilliseconds: number
+}
+
+/** What a plan weighs, all in millionths of a currency unit. */
+export interface PlanPrices {
+  badAnswer: number
+  /** For each millisecond by which the first token comes later. */
+  millisecondOfDelay: number
+}
+
+export interface StageDecision {
+  /** Accepted confidence buckets; undefined when the answer goes out unjudged. */
+  accepts?: boolean[]
+  /** Expected cost from here on, with the bad answers and delay that come with it. */
+  value: number
+  expectedQuality: number
+  expectedCost: number
+}
+
+export interface CascadePlan {
+  start: number
+  stages: StageDecision[]
+}
+
+/** Plans a cascade. Takes a few hundred steps; boxes keep the plan until estimates or prices move. */
+export function planCascade(stages: readonly StageOutlook[], prices: PlanPrices): CascadePlan {
+  const decisions = new Array<StageDecision>(stages.length)
+  for (let index = stages.length - 1; index >= 0; index--) {
+    const stage = stages[index]!
+    const unjudged = decideUnjudged(stage, prices)
+    const next = decisions[index + 1]
+    const judged = next ? decideJudged(stage, next, prices) : undefined
+    decisions[index] = judged && judged.value < unjudged.value ? judged : unjudged
+  }
+  const start = decisions.reduce(
+    (best, decision, index) => (decision.value < decisions[best]!.value ? index : best),
+    0,
+  )
+  return { start, stages: decisions }
+}
+
+function decideUnjudged(stage: StageOutlook, prices: PlanPrices): StageDecision {
+  const quality = goodShare(stage.counts)
+  return {
+    value: stage.cost + prices.badAnswer * (1 - quality),
+    expectedQuality: quality,
+    expectedCost: stage.cost,
+  }
+}
+
+/** The first answer is held back until it is whole; buckets that promise too little go on to the next stage. */
+function decideJudged(stage: StageOutlook, next: StageDecision, prices: PlanPrices): StageDecision {
+  const shares = bucketShares(stage.counts)
+  const accepts: boolean[] = []
+  let value = stage.cost + prices.millisecondOfDelay * stage.wholeAnswerMilliseconds
+  let expectedQuality = 0
+  let expectedCost = stage.cost
+  for (let bucket = 0; bucket < CONFIDENCE_BUCKETS; bucket++) {
+    const quality = goodShareInBucket(stage.counts, bucket)
+    const acceptValue = prices.badAnswer * (1 - quality)
+    const accept = acceptValue <= next.value
+    const share = shares[bucket]!
+    accepts.push(accept)
+    value += share * Math.min(acceptValue, next.value)
+    expectedQuality += share * (accept ? quality : next.expectedQuality)
+    expectedCost += accept ? 0 : share * next.expectedCost
+  }
+  return { accepts, value, expectedQuality, expectedCost }
+}
--- /dev/null
+++ b/packages/decisions/src/choice/chooseVersion.ts
@@ -0,0 +1,37 @@
+import { pickWeighted, type Random } from '../types/random.js'
+import { formatVersion, type Rights } from '../table/resolveRights.js'
+import type { VersionRow } from '../table/tableRow.js'
+
+/** What keeps a version from getting new sessions, beside its row. */
+export interface VersionBounds {
+  isHalted(version: string): boolean
+  /** Answers that the version may still give before more ratings come. */
+  roomOf(version: string): number
+  /** Whether any upstream is proved to run it. */
+  isServed(version: string): boolean
+}
+
+/**
+ * The version of a model for a new session, in proportion to the rows' weights. Halted versions get none; one
+ * that has to wait for ratings gives its share to the others. Undefined when no version may take new work.
+ */
+export function chooseVersion(
+  rights: readonly Rights[],
+  organisation: string,
+  model: string,
+  bounds: VersionBounds,
+  random: Random,
+): string | undefined {
+  const rows = rights[0]?.versionsOf(organisation, model) ?? []
+  const allowed = rows.filter(
+    row =>
+      rights.every(table => table.rightOf(organisation, row) === 'new-work') &&
+      !bounds.isHalted(formatVersion(row)),
+  )
+  const served = allowed.filter(row => bounds.isServed(formatVersion(row)))
+  const candidates = served.length > 0 ? served : allowed
+  const withRoom = candidates.filter(row => bounds.roomOf(formatVersion(row)) > 0)
+  const weightOf = (row: VersionRow) => row.weight
+  return (pickWeighted(withRoom, weightOf, random) ?? pickWeighted(candidates, weightOf, random))
+    ?.version
+}
--- /dev/null
+++ b/packages/decisions/src/upstreams/chooseUpstream.ts
@@ -0,0 +1,99 @@
+import type { Milliseconds } from '../types/clock.js'
+import type { Random } from '../types/random.js'
+import { predictFirstToken, predictLoad, type RequestOutlook } from './predictLoad.js'
+import { takesWork, type UpstreamView } from './upstreamView.js'
+
+/** What a strategy sees. */
+export interface UpstreamChoice {
+  /** Upstreams that serve what is wanted; some may take no work. */
+  pool: readonly UpstreamView[]
+  /** Upstreams that hold part of the prompt, the most likely first. */
+  affine: readonly UpstreamView[]
+  request: RequestOutlook
+  excluded: ReadonlySet<string>
+  now: Milliseconds
+  random: Random
+  /** Counts choices, for strategies that go round. */
+  turn: number
+}
+
+export type UpstreamStrategyName =
+  'predicted' | 'round-robin' | 'random' | 'least-reported' | 'two-choices'
+
+export type UpstreamStrategy = (choice: UpstreamChoice) => UpstreamView | undefined
+
+/** Candidates that a choice looks at, however large the pool is. */
+const SAMPLE_SIZE = 6
+
+/** The strategies among which an operator chooses in the settings. */
+export const UPSTREAM_STRATEGIES: Record<UpstreamStrategyName, UpstreamStrategy> = {
+  predicted: choice =>
+    leastBy(sample(choice, SAMPLE_SIZE, choice.affine), view =>
+      predictFirstToken(view, choice.request),
+    ),
+  'round-robin': choice => firstFrom(choice, choice.turn % Math.max(1, choice.pool.length)),
+  random: choice => sample(choice, 1)[0],
+  'least-reported': choice =>
+    leastBy(
+      choice.pool.filter(view => isOpen(choice, view)),
+      view => view.report.running + view.report.waiting,
+    ),
+  'two-choices': choice => leastBy(sample(choice, 2), predictLoad),
+}
+
+/** The upstream for a request, undefined when none takes work. */
+export function chooseUpstream(
+  strategy: UpstreamStrategyName,
+  choice: UpstreamChoice,
+): UpstreamView | undefined {
+  return UPSTREAM_STRATEGIES[strategy](choice)
+}
+
+/** Up to `size` open upstreams: the preferred ones first, the rest from a random place on. */
+function sample(
+  choice: UpstreamChoice,
+  size: number,
+  preferred: readonly UpstreamView[] = [],
+): UpstreamView[] {
+  const found = new Set(preferred.filter(view => isOpen(choice, view)).slice(0, 2))
+  const { pool, random } = choice
+  if (pool.length <= size) {
+    for (const view of pool) if (isOpen(choice, view)) found.add(view)
+    return [...found]
+  }
+  for (let tries = 0; tries < size * 3 && found.size < size; tries++) {
+    const view = pool[Math.floor(random() * pool.length)]!
+    if (isOpen(choice, view)) found.add(view)
+  }
+  if (found.size > 0) return [...found]
+  const any = firstFrom(choice, Math.floor(random() * pool.length))
+  return any ? [any] : []
+}
+
+function firstFrom(choice: UpstreamChoice, start: number): UpstreamView | undefined {
+  const { pool } = choice
+  for (let step = 0; step < pool.length; step++) {
+    const view = pool[(start + step) % pool.length]!
+    if (isOpen(choice, view)) return view
+  }
+  return undefined
+}
+
+function isOpen(choice: UpstreamChoice, view: UpstreamView): boolean {
+  return !choice.excluded.has(view.id) && takesWork(view, choice.now)
+}
+
+function leastBy(
+  views: readonly UpstreamView[],
+  scoreOf: (view: UpstreamView) => number,
+): UpstreamView | undefined {
+  let best: UpstreamView | undefined
+  let bestScore = Infinity
+  for (const view of views) {
+    const score = scoreOf(view)
+    if (score >= bestScore) continue
+    best = view
+    bestScore = score
+  }
+  return best
+}
--- /dev/null
+++ b/packages/proof/src/index.ts
@@ -0,0 +1,2 @@
+export * from './world/startSystem.js'
+export * from './world/demoTable.js'
--- /dev/null
+++ b/packages/stand-ins/src/platform/objectStore.ts
@@ -0,0 +1,22 @@
+import type { Clock, Random } from '@yewkeel/decisions'
+import { createFaults, withFaults } from '../types/faults.js'
+import { answerJson, type StandInHandler } from '../types/handler.js'
+
+/** The object store: whole objects put and got by path. */
+export class ObjectStore {
+  readonly faults = createFaults()
+  readonly objects = new Map<string, string>()
+
+  constructor(readonly options: { clock: Clock; random: Random }) {}
+
+  readonly handler: StandInHandler = request =>
+    withFaults(this.faults, this.options, () => {
+      if (request.method === 'PUT') {
+        this.objects.set(request.path, request.body)
+        return answerJson(200, {})
+      }
+      const object = this.objects.get(request.path)
+      if (object === undefined) return answerJson(404, { message: 'no such object' })
+      return answerJson(200, JSON.parse(object))
+    })
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/ratingService.ts
@@ -0,0 +1,62 @@
+import type { Clock, Milliseconds, Random } from '@yewkeel/decisions'
+import { createFaults, withFaults } from '../types/faults.js'
+import { answerJson, type StandInHandler } from '../types/handler.js'
+
+export interface RatingServiceOptions {
+  clock: Clock
+  random: Random
+  /**
+   * How late a rating comes.
+   * @default 2000
+   */
+  delay?: Milliseconds
+  /**
+   * Share of answers that get a rating.
+   * @default 1
+   */
+  coverage?: number
+}
+
+interface Rating {
+  cursor: number
+  requestId: string
+  good: boolean
+  at: Milliseconds
+}
+
+/** The service that rates answers: partial, late, and asked by cursor. */
+export class RatingService {
+  readonly faults = createFaults()
+  readonly #ratings: Rating[] = []
+
+  constructor(readonly options: RatingServiceOptions) {}
+
+  /** Called by engines with what an answer was really worth. */
+  note(requestId: string, good: boolean): void {
+    const { clock, random, delay = 2_000, coverage = 1 } = this.options
+    if (random() >= coverage) return
+    clock.after(delay, () => {
+      this.#ratings.push({ cursor: this.#ratings.length + 1, requestId, good, at: clock.now() })
+    })
+  }
+
+  /** Ratings after a cursor, of requests whose id starts with `router`. */
+  ratingsAfter(
+    cursor: number,
+    router: string,
+    limit = 1_000,
+  ): { ratings: Rating[]; cursor: number } {
+    const page = this.#ratings.slice(cursor, cursor + limit)
+    return {
+      ratings: page.filter(rating => rating.requestId.startsWith(router)),
+      cursor: cursor + page.length,
+    }
+  }
+
+  readonly handler: StandInHandler = request =>
+    withFaults(this.faults, this.options, () => {
+      const url = new URL(request.path, 'http://ratings')
+      const cursor = Number(url.searchParams.get('after') ?? 0)
+      return answerJson(200, this.ratingsAfter(cursor, url.searchParams.get('router') ?? ''))
+    })
+}
--- /dev/null
+++ b/packages/stand-ins/src/upstreams/plainService.ts
@@ -0,0 +1,48 @@
+import { sleep, type Clock, type Milliseconds, type Random } from '@yewkeel/decisions'
+import { createFaults, withFaults } from '../types/faults.js'
+import { answerJson, type StandInHandler } from '../types/handler.js'
+
+export interface PlainServiceOptions {
+  clock: Clock
+  random: Random
+  /** @default 10 */
+  workTime?: Milliseconds
+  /** @default 16 */
+  slots?: number
+}
+
+/** A service beside the engines. Each POST has an effect that must not happen twice; it checks nothing. */
+export class PlainService {
+  readonly faults = createFaults()
+  /** How often each call ran, by the caller's idempotency key. */
+  readonly runs = new Map<string, number>()
+  #running = 0
+
+  constructor(readonly options: PlainServiceOptions) {}
+
+  readonly handler: StandInHandler = request =>
+    withFaults(this.faults, this.options, async () => {
+      const { clock, workTime = 10, slots = 16 } = this.options
+      if (request.path === '/load') {
+        return answerJson(200, {
+          running: this.#running,
+          waiting: 0,
+          slots,
+          leaving: false,
+          versions: [],
+        })
+      }
+      if (request.method === 'POST')
+        this.#noteRun(request.headers['idempotency-key'] ?? request.body)
+      this.#running++
+      await sleep(clock, workTime)
+      this.#running--
+      if (request.method === 'POST')
+        return answerJson(201, { done: true, call: request.body.slice(0, 200) })
+      return answerJson(200, { path: request.path, free: 3 })
+    })
+
+  #noteRun(key: string): void {
+    this.runs.set(key, (this.runs.get(key) ?? 0) + 1)
+  }
+}
