--- a/packages/box/src/requests/billKeeper.ts
+++ b/packages/box/src/requests/billKeeper.ts
@@ -17,7 +17,7 @@
 
   constructor(private readonly context: RequestContext) {
     this.#bill = {
-      requestId: context.id,
+      requestId: context.billId,
       organisation: context.organisation,
       openedAt: context.services.clock.wallTime(),
       stage: 'open',
--- a/packages/box/src/requests/callService.ts
+++ b/packages/box/src/requests/callService.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { refuseNotRun, type KeptAnswer, type Refusal } from '@yewkeel/decisions'
+import { refuseNotRun, withoutClaimKnown, type KeptAnswer, type Refusal } from '@yewkeel/decisions'
 import type { RequestContext } from '../types/context.js'
 import type { HeldClaim } from '../tasks/claimTask.js'
 import { readText } from '../tasks/upstreamTask.js'
@@ -10,6 +10,8 @@
 
 export const SERVICE_PATH = '/v1/services/'
 const KEY_HEADER = 'idempotency-key'
+const ATTEMPT_HEADER = 'yewkeel-attempt'
+const FIRST_ATTEMPT = '1'
 const LARGEST_KEY = 200
 
 /** Methods that HTTP says may be repeated; all others run at most once. */
@@ -30,7 +32,8 @@
   const isAllowed = rights.every(table => table.allowsService(organisation, service))
   if (!isAllowed) {
     const message = `the organisation may not call a service "${service}"`
-    return answerRefusal(responder, refuseNotRun('not-allowed', message), id)
+    const refusal = refuseNotRun('not-allowed', message)
+    return answerRefusal(responder, withVerdictFor(context, refusal), id)
   }
   const path = `/${rest.join('/')}`
   if (!REPEATABLE_METHODS.has(request.method)) return callOnce(context, service, path)
@@ -48,12 +51,32 @@
     return answerRefusal(responder, refuseNotRun('bad-request', message), context.id)
   }
   const own = { attempt: context.id, digest: digestOf(request.method, service, path, request.body) }
-  const claimed = await services.claims.claim(organisation, `${service}/${key}`, own)
+  const claimed = await services.claims.claim(
+    organisation,
+    `${service}/${key}`,
+    own,
+    isFirstAttempt(context),
+  )
   if (claimed.isErr) return answerRefusal(responder, claimed.error, context.id)
   if ('replay' in claimed.value) return replay(context, claimed.value.replay, claimed.value.attempt)
   await sendClaimed({ context, service, path, bill: new BillKeeper(context) }, claimed.value.held)
 }
 
+/** The caller says that it has not made this call before. */
+function isFirstAttempt({ request }: RequestContext): boolean {
+  return request.headers[ATTEMPT_HEADER] === FIRST_ATTEMPT
+}
+
+/** A refusal before the claim of a call is known: an earlier attempt at the call may have run. */
+export function withVerdictFor(context: RequestContext, refusal: Refusal): Refusal {
+  const { request } = context
+  const isClaimed =
+    request.path.startsWith(SERVICE_PATH) &&
+    !REPEATABLE_METHODS.has(request.method) &&
+    request.headers[KEY_HEADER] !== undefined
+  return isClaimed ? withoutClaimKnown(refusal, isFirstAttempt(context)) : refusal
+}
+
 /** Sends the call once. The caller may hang up meanwhile; the claim is settled all the same. */
 async function sendClaimed(call: ServiceCall, held: HeldClaim): Promise<void> {
   const { context } = call
--- a/packages/box/src/requests/filters.ts
+++ b/packages/box/src/requests/filters.ts
@@ -1,5 +1,6 @@
 import { refuseNotRun, type Refusal } from '@yewkeel/decisions'
 import type { RequestContext } from '../types/context.js'
+import { hashKey } from './callerKeys.js'
 
 /** A step before a request is answered. Gives a refusal, or lets the request on. */
 export type Filter = (context: RequestContext) => Refusal | undefined
@@ -39,6 +40,8 @@
     )
   }
   context.organisation = name
+  const key = context.request.headers['idempotency-key']
+  if (key) context.billId = `key.${hashKey(`${name}\n${context.request.path}\n${key}`).slice(0, 32)}`
   return undefined
 }
 
--- a/packages/box/src/requests/handleRequest.ts
+++ b/packages/box/src/requests/handleRequest.ts
@@ -3,7 +3,7 @@
 import type { CallerRequest, Responder } from '../types/ports.js'
 import { answerCompletion } from './answerCompletion.js'
 import { answerRefusal } from './answerRefusal.js'
-import { callService, SERVICE_PATH } from './callService.js'
+import { callService, SERVICE_PATH, withVerdictFor } from './callService.js'
 import { runFilters } from './filters.js'
 import { resumeStream, STREAM_PATH } from './resumeStream.js'
 
@@ -55,7 +55,7 @@
     const refusal = runFilters(context)
     if (refusal) {
       services.metrics.count('requests.refused', 1, { reason: refusal.reason })
-      answerRefusal(responder, refusal, context.id)
+      answerRefusal(responder, withVerdictFor(context, refusal), context.id)
     } else await route.answer(context)
     context.span.set({ organisation: context.organisation, 'request.id': context.id })
     context.span.end()
@@ -74,6 +74,7 @@
     request,
     responder,
     id,
+    billId: id,
     receivedAt: services.clock.now(),
     span: services.tracer.start(`${request.method} ${request.path}`, request.headers.traceparent),
     organisation: '',
--- a/packages/box/src/requests/relayCompletion.ts
+++ b/packages/box/src/requests/relayCompletion.ts
@@ -230,11 +230,11 @@
 
 /** An engine refused the request itself: the caller gets the engine's words. It did not run. */
 function relayClientError(
-  { responder, services, id }: RequestContext,
+  { responder, services, id, billId }: RequestContext,
   open: OpenAnswer,
   text: string,
 ): undefined {
-  services.bills.void(id)
+  services.bills.void(billId)
   responder.start(open.answer.status, {
     'content-type': open.answer.headers['content-type'] ?? 'application/json',
     'x-request-id': id,
--- a/packages/box/src/tasks/claimTask.ts
+++ b/packages/box/src/tasks/claimTask.ts
@@ -46,6 +46,7 @@
     organisation: string,
     idempotencyKey: string,
     own: Pick<Claim, 'attempt' | 'digest'>,
+    isFirstAttempt: boolean,
   ): Promise<Result<Claimed, Refusal>> {
     const key = claimKey(organisation, idempotencyKey)
     const value: Claim = { ...own, step: 'claimed' }
@@ -55,11 +56,11 @@
       case 'created':
         return Result.ok({ held })
       case 'absent':
-        return Result.err(refuseWithoutClaim())
+        return Result.err(refuseWithoutClaim(isFirstAttempt))
       case 'unknown':
         // The row may stand; nothing will be sent under it, and the row is told so when the store answers.
         this.settle(held, 'not-run')
-        return Result.err(refuseWithoutClaim())
+        return Result.err(refuseWithoutClaim(isFirstAttempt))
       case 'exists': {
         const decision = decideClaim(JSON.parse(row.value) as Claim, row.version, own)
         return this.#follow(decision, held)
@@ -95,15 +96,16 @@
       writes: [{ key, value: JSON.stringify(value) }],
     })
     if (outcome === 'committed') return Result.ok({ held })
-    if (outcome === 'unavailable') return Result.err(refuseWithoutClaim())
+    // The row said that no attempt ran before, so the refusal may say the same.
+    if (outcome === 'unavailable') return Result.err(refuseWithoutClaim(true))
     const answer = await table.read([key])
     const row = answer.outcome === 'read' ? answer.rows[0] : undefined
     if (!row) {
       this.settle(held, 'not-run')
-      return Result.err(refuseWithoutClaim())
+      return Result.err(refuseWithoutClaim(false))
     }
     const decision = decideClaim(JSON.parse(row.value) as Claim, row.version, value)
-    if (decision.decision === 'take-over') return Result.err(refuseWithoutClaim())
+    if (decision.decision === 'take-over') return Result.err(refuseWithoutClaim(true))
     return this.#follow(decision, held)
   }
 
--- a/packages/box/src/types/context.ts
+++ b/packages/box/src/types/context.ts
@@ -62,6 +62,8 @@
   request: CallerRequest
   responder: Responder
   id: string
+  /** Names the bill: the same for all attempts of a caller that sends an idempotency key. */
+  billId: string
   receivedAt: Milliseconds
   span: Span
   /** Set by the filters that find them out. */
--- a/packages/decisions/src/claims/claim.ts
+++ b/packages/decisions/src/claims/claim.ts
@@ -83,10 +83,19 @@
 }
 
 /** What the caller of a call that may not be repeated is told when the store cannot take the claim. */
-export function refuseWithoutClaim(): Refusal {
-  return refuseNotRun(
+export function refuseWithoutClaim(isFirstAttempt: boolean): Refusal {
+  const refusal = refuseNotRun(
     'store-out',
-    'the call may not be repeated and the store that guards it does not answer; nothing was sent',
+    'the call may not be repeated and the store that guards it does not answer; nothing was sent now',
     ASK_AGAIN_AFTER,
   )
+  return withoutClaimKnown(refusal, isFirstAttempt)
+}
+
+/**
+ * A refusal made without knowing the claim. "Not run" is about the call, not about this attempt at it: unless
+ * the caller says that there was no attempt before, an earlier one may have run.
+ */
+export function withoutClaimKnown(refusal: Refusal, isFirstAttempt: boolean): Refusal {
+  return isFirstAttempt ? refusal : { ...refusal, verdict: 'may-have-run' }
 }
