--- a/packages/box/src/requests/filters.ts
+++ b/packages/box/src/requests/filters.ts
@@ -31,6 +31,11 @@
   return undefined
 }
 
+/** The bill of all attempts that share an idempotency key. */
+export function resolveBillId(organisation: string, path: string, key: string): string {
+  return `key.${hashKey(`${organisation}\n${path}\n${key}`).slice(0, 32)}`
+}
+
 function identifyCaller(context: RequestContext): Refusal | undefined {
   const name = context.services.keys.find(context.request.headers.authorization)
   if (!name) {
@@ -41,7 +46,7 @@
   }
   context.organisation = name
   const key = context.request.headers['idempotency-key']
-  if (key) context.billId = `key.${hashKey(`${name}\n${context.request.path}\n${key}`).slice(0, 32)}`
+  if (key) context.billId = resolveBillId(name, context.request.path, key)
   return undefined
 }
 
--- /dev/null
+++ b/packages/proof/src/models/tableModel.ts
@@ -0,0 +1,364 @@
+import {
+  createTable,
+  createTableState,
+  resolveFreshness,
+  resolveTablesInDoubt,
+  tableTransition,
+  type ChangeOutcome,
+  type FreshnessLimits,
+  type Proposal,
+  type Table,
+  type TableEffect,
+  type TableMessage,
+  type TableRow,
+  type TableState,
+  type VoterSet,
+} from '@yewkeel/decisions'
+import type { Model } from './explore.js'
+
+export type TableMutation =
+  | 'write without telling a majority'
+  | 'do not honour what may be accepted'
+  | 'take words of any age'
+  | 'date words from their arrival'
+  | 'let a restarted box keep its vote'
+  | 'call a lost write refused'
+
+interface Sent {
+  to: string
+  message: TableMessage
+}
+
+type CommitStep = 'none' | 'ready' | 'unsure' | 'done'
+
+interface TableModelState {
+  now: number
+  boxes: Record<string, TableState>
+  sent: Sent[]
+  storeUp: boolean
+  /** The change stands in the store since this tick. */
+  acceptedAt?: number
+  /** A tombstone keeps the write from taking effect later. */
+  fenced: boolean
+  commit: CommitStep
+  /** The write is on its way and may take effect late. */
+  writeOpen: boolean
+  told?: ChangeOutcome['outcome']
+  /** The highest revision that each box has served by. */
+  highest: Record<string, number>
+  wentBack: boolean
+  faults: number
+}
+
+type TableAction = { type: string; box?: string; from?: string; index?: number }
+
+const A = 'a/1'
+const B = 'b/1'
+const C = 'c/1'
+const RESTARTED = 'c/2'
+const VOTERS: VoterSet = { epoch: 1, voters: [A, B, C] }
+const LAST_TICK = 2
+const FAULTS = 2
+const LARGEST_SENT = 1
+/** A change is in force everywhere within this many ticks, or what it forbids is refused. */
+const BOUND = 1
+const CHANGE_ID = 'w'
+
+const LIMITS: FreshnessLimits = {
+  freshFor: BOUND,
+  peerWordFor: BOUND,
+  storeOutAfter: 0,
+  settleAfter: 1,
+  announceFor: 99,
+}
+
+const rowOf = (state: 'active' | 'withdrawn'): TableRow => ({
+  row: 'version',
+  organisation: '*',
+  model: 'm',
+  version: '1',
+  weight: 1,
+  state,
+})
+const BEFORE: Table = createTable(1, [rowOf('active')])
+const AFTER: Table = createTable(2, [rowOf('withdrawn')])
+const PROPOSAL: Proposal = {
+  id: CHANGE_ID,
+  content: {
+    kind: 'change',
+    change: {
+      changeId: CHANGE_ID,
+      author: 'o',
+      baseRevision: 1,
+      upserts: [rowOf('withdrawn')],
+      removals: [],
+    },
+  },
+}
+
+/**
+ * One withdrawal among three voters: boxes are cut off, restart and forget, words and reads come late, the
+ * store goes down and loses answers. A box that does nothing for a while is one that is cut off or paused.
+ */
+export function createTableModel(mutation?: TableMutation): Model<TableModelState, TableAction> {
+  const limits = mutation === 'take words of any age' ? { ...LIMITS, peerWordFor: 99 } : LIMITS
+  return {
+    name: 'table in force',
+    stands: 'tableTransition, resolveFreshness and resolveTablesInDoubt are the product\'s own; the store is an abstraction',
+    initial: () => ({
+      now: 0,
+      boxes: Object.fromEntries([A, B, C].map(box => [box, startBox(box, limits)])),
+      sent: [],
+      storeUp: true,
+      fenced: false,
+      commit: 'none',
+      writeOpen: false,
+      highest: {},
+      wentBack: false,
+      faults: FAULTS,
+    }),
+    actions: state => tableActions(state),
+    apply: (state, action) => applyTable(state, action, limits, mutation),
+    invariants: {
+      'a withdrawn version is served by nobody after the bound': state =>
+        state.acceptedAt === undefined ||
+        state.now - state.acceptedAt <= BOUND ||
+        !Object.values(state.boxes).some(box => serves(box, state.now, mutation)),
+      'no box goes back to an older revision': state => !state.wentBack,
+      'what was told refused is not in the store': state =>
+        state.told !== 'refused' || state.acceptedAt === undefined,
+      'what was told accepted is in the store': state =>
+        state.told !== 'accepted' || state.acceptedAt !== undefined,
+    },
+  }
+}
+
+function startBox(box: string, limits: FreshnessLimits): TableState {
+  const state = createTableState(box, 0, limits)
+  state.table = BEFORE
+  state.floor = 1
+  state.voters = VOTERS
+  state.confirmedAt = 0
+  state.storeReadAt = 0
+  return state
+}
+
+function serves(box: TableState, now: number, mutation?: TableMutation): boolean {
+  if (resolveFreshness(box, now) === 'stale') return false
+  const tables = mutation === 'do not honour what may be accepted' ? [box.table] : resolveTablesInDoubt(box)
+  return tables.every(table => [...table.rows.values()].every(row => row.row === 'version' && row.state === 'active'))
+}
+
+function tableActions(state: TableModelState): TableAction[] {
+  const actions: TableAction[] = []
+  const boxes = Object.keys(state.boxes)
+  const mayStart = state.sent.length < LARGEST_SENT
+  if (state.now < LAST_TICK) actions.push({ type: 'time passes' })
+  if (state.commit === 'none' && !state.boxes[A]!.own.has(CHANGE_ID) && state.told === undefined) {
+    actions.push({ type: 'propose', box: A })
+  }
+  state.sent.forEach((_sent, index) => actions.push({ type: 'deliver', index }))
+  for (const box of boxes) {
+    if (mayStart && state.storeUp) actions.push({ type: 'read the store', box })
+    for (const from of boxes) if (from !== box && mayStart) actions.push({ type: 'hear a word', box, from })
+    if (state.boxes[box]!.open.size > 0) actions.push({ type: 'look at open proposals', box })
+  }
+  if (state.commit === 'ready') actions.push(...commitActions(state))
+  if (state.commit === 'unsure' && state.storeUp) actions.push({ type: 'fence the write' })
+  if (state.writeOpen && state.commit !== 'ready' && state.storeUp) actions.push({ type: 'late write takes effect' })
+  if (state.faults > 0) {
+    actions.push({ type: state.storeUp ? 'store goes down' : 'store comes up' })
+    if (state.boxes[C]) actions.push({ type: 'c restarts' })
+  }
+  if (!state.boxes[C] && !state.boxes[A]!.gone.has(C)) actions.push({ type: 'hear that c/1 is gone', box: A })
+  return actions
+}
+
+function commitActions(state: TableModelState): TableAction[] {
+  if (!state.storeUp) return [{ type: 'store refuses the write' }]
+  const actions: TableAction[] = [{ type: 'write takes effect' }]
+  if (state.faults > 0) actions.push({ type: 'write takes effect and its answer is lost' }, { type: 'write is late' })
+  return actions
+}
+
+function applyTable(
+  state: TableModelState,
+  action: TableAction,
+  limits: FreshnessLimits,
+  mutation?: TableMutation,
+): void {
+  const post = (box: string, message: TableMessage) => postTo(state, box, message, mutation)
+  switch (action.type) {
+    case 'time passes':
+      state.now++
+      break
+    case 'propose':
+      post(A, { type: 'propose', proposal: PROPOSAL })
+      break
+    case 'deliver': {
+      const [sent] = state.sent.splice(action.index!, 1)
+      if (state.boxes[sent!.to]) post(sent!.to, arriving(state, sent!.message, mutation))
+      break
+    }
+    case 'read the store': {
+      const table = state.acceptedAt === undefined ? BEFORE : AFTER
+      state.sent.push({ to: action.box!, message: { type: 'store-read', startedAt: state.now, table, voters: VOTERS } })
+      break
+    }
+    case 'hear a word':
+      state.sent.push({ to: action.box!, message: wordOf(state, action.from!) })
+      break
+    case 'look at open proposals':
+      post(action.box!, { type: 'tick' })
+      break
+    case 'store goes down':
+    case 'store comes up':
+      state.storeUp = !state.storeUp
+      state.faults--
+      break
+    case 'c restarts':
+      restart(state, limits, mutation)
+      break
+    case 'hear that c/1 is gone':
+      post(A, { type: 'voter-gone', voter: C })
+      break
+    default:
+      applyCommit(state, action.type, mutation)
+  }
+  noteRevisions(state)
+}
+
+/** A restarted box has forgotten all; it takes the table from the first that gives it. */
+function restart(state: TableModelState, limits: FreshnessLimits, mutation?: TableMutation): void {
+  state.faults--
+  delete state.boxes[C]
+  delete state.highest[C]
+  const name = mutation === 'let a restarted box keep its vote' ? C : RESTARTED
+  state.boxes[name] = createTableState(name, state.now, limits)
+}
+
+function applyCommit(state: TableModelState, type: string, mutation?: TableMutation): void {
+  const answer = (outcome: ChangeOutcome) => {
+    state.commit = 'done'
+    state.told = outcome.outcome
+    postTo(state, A, { type: 'commit-answered', id: CHANGE_ID, outcome }, mutation)
+  }
+  switch (type) {
+    case 'store refuses the write':
+      return answer({ outcome: 'refused', message: '' })
+    case 'write takes effect':
+      if (takeWrite(state)) return answer({ outcome: 'accepted', revision: 2 })
+      return answer({ outcome: 'refused', message: '' })
+    case 'write takes effect and its answer is lost':
+      takeWrite(state)
+      return loseAnswer(state, answer, mutation)
+    case 'write is late':
+      state.writeOpen = true
+      return loseAnswer(state, answer, mutation)
+    case 'late write takes effect':
+      state.writeOpen = false
+      takeWrite(state)
+      return
+    case 'fence the write':
+      return answer(fence(state))
+  }
+}
+
+function loseAnswer(
+  state: TableModelState,
+  answer: (outcome: ChangeOutcome) => void,
+  mutation?: TableMutation,
+): void {
+  state.faults--
+  if (mutation === 'call a lost write refused') return answer({ outcome: 'refused', message: '' })
+  state.commit = 'unsure'
+}
+
+function takeWrite(state: TableModelState): boolean {
+  if (state.fenced || state.acceptedAt !== undefined) return false
+  state.acceptedAt = state.now
+  return true
+}
+
+/** Reads whether the change was accepted, or makes sure that it never will be. */
+function fence(state: TableModelState): ChangeOutcome {
+  if (state.acceptedAt !== undefined) return { outcome: 'accepted', revision: 2 }
+  state.fenced = true
+  return { outcome: 'refused', message: '' }
+}
+
+function wordOf(state: TableModelState, from: string): TableMessage {
+  const peer = state.boxes[from]!
+  const { confirmedAt, table, open, voters } = peer
+  const storeOut = state.now - (peer.storeReadAt ?? peer.startedAt) > peer.limits.storeOutAfter
+  return {
+    type: 'peer-word',
+    from,
+    word: {
+      asOf: state.now,
+      revision: table.revision,
+      storeOut,
+      ...(confirmedAt !== undefined && { confirmedAt }),
+    },
+    open: [...open.values()].map(({ id, content }) => ({ id, content })),
+    ...(voters && { voters }),
+  }
+}
+
+function arriving(state: TableModelState, message: TableMessage, mutation?: TableMutation): TableMessage {
+  if (message.type !== 'peer-word' || mutation !== 'date words from their arrival') return message
+  return { ...message, word: { ...message.word, asOf: state.now } }
+}
+
+function postTo(state: TableModelState, box: string, message: TableMessage, mutation?: TableMutation): void {
+  const target = state.boxes[box]
+  if (!target) return
+  for (const effect of tableTransition(target, message, state.now)) run(state, box, effect, mutation)
+}
+
+function run(state: TableModelState, box: string, effect: TableEffect, mutation?: TableMutation): void {
+  const others = Object.keys(state.boxes).filter(other => other !== box)
+  switch (effect.type) {
+    case 'announce':
+      for (const to of others) {
+        state.sent.push({ to, message: { type: 'announcement', from: box, proposal: effect.proposal } })
+      }
+      if (mutation === 'write without telling a majority') state.commit = 'ready'
+      return
+    case 'confirm-announcement':
+      state.sent.push({ to: effect.to, message: { type: 'announcement-heard', id: effect.id, by: box } })
+      return
+    case 'commit':
+      state.commit = 'ready'
+      return
+    case 'tell-settled':
+      for (const to of others) state.sent.push({ to, message: { ...effect, type: 'settled' } })
+      return
+    case 'settle':
+      return settle(state, box, mutation)
+    case 'fetch-table': {
+      const from = state.boxes[effect.from]
+      if (from) postTo(state, box, { type: 'table-heard', table: from.table }, mutation)
+      return
+    }
+    case 'answer':
+    case 'table-changed':
+    case 'store-went-back':
+      return
+  }
+}
+
+function settle(state: TableModelState, box: string, mutation?: TableMutation): void {
+  if (!state.storeUp) return
+  const outcome = fence(state)
+  const accepted = outcome.outcome === 'accepted'
+  const message: TableMessage = { type: 'settled', id: CHANGE_ID, accepted, ...(accepted && { revision: 2 }) }
+  postTo(state, box, message, mutation)
+}
+
+function noteRevisions(state: TableModelState): void {
+  for (const [box, { table }] of Object.entries(state.boxes)) {
+    if (table.revision < (state.highest[box] ?? 0)) state.wentBack = true
+    state.highest[box] = Math.max(state.highest[box] ?? 0, table.revision)
+  }
+}
--- /dev/null
+++ b/packages/proof/src/node/measure.ts
@@ -0,0 +1,43 @@
+import Table from 'cli-table3'
+import { measureFaults } from '../measures/faults.js'
+import type { Measure, MeasureRow } from '../measures/measureRow.js'
+
+const MEASURES: Record<string, Measure> = { faults: measureFaults }
+
+const [name = '', ...flags] = process.argv.slice(2)
+const measure = MEASURES[name]
+if (!measure) {
+  console.error(`usage: npm run measure -- NAME [--json] [--seeds FROM-TO] [--quick]`)
+  console.error(`NAME is one of ${Object.keys(MEASURES).join(', ')}`)
+  process.exit(2)
+}
+const isJson = flags.includes('--json')
+const rows = await measure({ seeds: readSeeds(), quick: flags.includes('--quick') }, text => {
+  if (!isJson) process.stderr.write(`${text}\n`)
+})
+if (isJson) console.log(JSON.stringify({ measure: name, rows }))
+else printRows(rows)
+process.exit(0)
+
+/** Seeds of `--seeds FROM-TO`; 1-3 when none are given. */
+function readSeeds(): number[] {
+  const at = flags.indexOf('--seeds')
+  const [from = 1, to = 3] = at === -1 ? [] : (flags[at + 1] ?? '').split('-').map(Number)
+  return Array.from({ length: Math.max(1, to - from + 1) }, (_, index) => from + index)
+}
+
+function printRows(rows: readonly MeasureRow[]): void {
+  const table = new Table({
+    head: ['workload', 'case', 'policy', 'metric', 'mean', 'spread', 'unit', 'runs'],
+    style: { head: [], border: [], compact: true },
+  })
+  for (const row of rows) {
+    const { workload, metric, unit, runs } = row
+    table.push([workload, row.case, row.policy, metric, format(row.mean), format(row.spread), unit, runs])
+  }
+  console.log(table.toString())
+}
+
+function format(value: number): string {
+  return Number.isInteger(value) ? String(value) : value.toPrecision(4)
+}
