Choose models by a solved price of a bad answer; operators' command line; exposure measured

Change: the price is solved from the estimates for all kinds of an organisation together, corrected by what ratings show against what plans promised; a share of answers is judged and let out to learn from; yewkeelctl.

--- a/packages/box/src/requests/answerCompletion.ts
+++ b/packages/box/src/requests/answerCompletion.ts
@@ -34,6 +34,8 @@
   /** Prefix blocks of the prompt, in which cache look-ups are made. */
   blocks: number[]
   excluded: Set<string>
+  /** What the plan of the cascade promises, once it is made. */
+  promised?: number
 }
 
 /** Answers a chat completion, plain or streaming, through one model or a cascade of them. */
@@ -79,6 +81,7 @@
     models.map(model => stageCosts(task, model)),
     mayWaitForJudging(context, completion),
   )
+  task.promised = choice.promised
   for (let stage = choice.start; stage < models.length; stage++) {
     const version = task.versions.versionOf(models[stage]!)
     if (version.isErr) return version.error
--- a/packages/box/src/requests/relayCompletion.ts
+++ b/packages/box/src/requests/relayCompletion.ts
@@ -263,7 +263,7 @@
 
 /** Counts the answer as evidence-to-come of its version. */
 export function noteServed(
-  { context, completion }: CompletionTask,
+  { context, completion, promised }: CompletionTask,
   version: ModelVersion,
   open: OpenAnswer,
   bucket?: number,
@@ -273,6 +273,7 @@
     kind: completion.kind,
     ...version,
     ...(bucket !== undefined && { bucket }),
+    ...(promised !== undefined && { promised }),
   })
 }
 
--- a/packages/box/src/tasks/exposureTask.ts
+++ b/packages/box/src/tasks/exposureTask.ts
@@ -37,6 +37,8 @@
   model: string
   version: string
   bucket?: number
+  /** What the plan of its cascade promised. */
+  promised?: number
 }
 
 export interface ExposureTaskOptions {
--- a/packages/box/src/tasks/qualityTask.ts
+++ b/packages/box/src/tasks/qualityTask.ts
@@ -1,19 +1,21 @@
 import {
-  adjustPrice,
   bucketOf,
+  correctedTarget,
   countsOf,
-  createQualityPrice,
+  createPromiseCheck,
   DELAY_PRICES,
   noteAnswer,
+  notePromise,
   noteRating,
   planCascade,
   ratedCount,
+  solveQualityPrice,
   type CascadePlan,
   type Clock,
   type LimitRow,
   type Milliseconds,
+  type PromiseCheck,
   type QualityEstimates,
-  type QualityPrice,
   type Random,
   type StageOutlook,
 } from '@yewkeel/decisions'
@@ -25,16 +27,24 @@
 }
 
 /** Plans are made anew at most this often. */
-const PLAN_FOR: Milliseconds = 250
+const PLAN_FOR: Milliseconds = 1_000
+/** An organisation's price of a bad answer is found anew at most this often. */
+const PRICE_FOR: Milliseconds = 5_000
+const FIRST_PRICE = 2_000
 /** Share of cascade requests that try a stage that the plan would not start with. */
 const EXPLORATION = 0.02
 /** Ratings of a stage from which on it is no longer explored. */
 const EXPLORED_RATINGS = 400
-
-interface KeptPlan {
-  plan: CascadePlan
-  madeAt: Milliseconds
-}
+/**
+ * Share of requests whose answer is judged and goes out whatever its confidence. It costs nothing but that the
+ * first token waits, and it alone shows what answers are worth that would else be thrown away.
+ */
+const JUDGED_FOR_LEARNING = 0.25
+/** Ratings with confidence from which on fewer are judged for learning. */
+const LEARNED_RATINGS = 200
+const JUDGED_AFTERWARDS = 0.02
+/** Weight of the newest request in how often a kind comes. */
+const KIND_STEP = 1 / 2_000
 
 /** What is expected of a stage beside its quality. */
 export interface StageCosts {
@@ -46,17 +56,37 @@
 /** A request's way through its cascade. */
 export interface CascadeChoice {
   start: number
+  /** Chance of a good answer that the plan reckons with, also where something else is tried to learn from. */
+  promised: number
   /** Whether the stage's answer is judged before it goes out. */
   isJudged(stage: number): boolean
   /** Whether an answer of this confidence goes out. */
   accepts(stage: number, confidence: number): boolean
 }
 
+/** One kind of request of one organisation. */
+interface KnownKind {
+  name: string
+  mayWait: boolean
+  share: number
+  /** Costs of the stages, smoothed over requests. */
+  stages: StageCosts[]
+  plan?: CascadePlan
+  plannedAt: Milliseconds
+}
+
+interface KnownOrganisation {
+  kinds: Map<string, KnownKind>
+  price: number
+  pricedAt: Milliseconds
+}
+
 /** Learns how good each model is at each kind of request, and plans cascades by it. */
 export class QualityTask {
   readonly #estimates: QualityEstimates = new Map()
-  readonly #prices = new Map<string, QualityPrice>()
-  readonly #plans = new Map<string, KeptPlan>()
+  /** One for all organisations: they share the estimates, and so what is wrong with them. */
+  readonly #check: PromiseCheck = createPromiseCheck()
+  readonly #organisations = new Map<string, KnownOrganisation>()
 
   constructor(private readonly options: QualityTaskOptions) {}
 
@@ -68,12 +98,18 @@
     stages: readonly StageCosts[],
     mayWait: boolean,
   ): CascadeChoice {
-    const plan = this.#planFor(limit, organisation, kind, stages, mayWait)
+    const known = this.#organisationOf(organisation)
+    const knownKind = noteKind(known, kind, stages, mayWait)
+    this.#refresh(known, knownKind, limit)
+    const plan = knownKind.plan!
+    const promised = plan.stages[plan.start]?.expectedQuality ?? 1
     const start = this.#explore(kind, stages) ?? plan.start
-    const expected = plan.stages[start]?.expectedQuality ?? 1
-    adjustPrice(this.#priceOf(organisation), expected, limit.qualityTarget)
+    if (mayWait && this.#learnsConfidence(kind, stages[start]!.model)) {
+      return { start, promised, isJudged: () => true, accepts: () => true }
+    }
     return {
       start,
+      promised,
       isJudged: stage => mayWait && plan.stages[stage]?.accepts !== undefined,
       accepts: (stage, confidence) => plan.stages[stage]?.accepts?.[bucketOf(confidence)] ?? true,
     }
@@ -86,31 +122,36 @@
   }
 
   noteRating(answer: ServedAnswer, good: boolean): void {
+    if (answer.promised !== undefined) notePromise(this.#check, answer.promised, good)
     const counts = countsOf(this.#estimates, answer.kind, answer.model)
-    const now = this.options.clock.now()
-    noteRating(counts, answer.bucket, good, now)
+    noteRating(counts, answer.bucket, good, this.options.clock.now())
   }
 
-  #planFor(
-    limit: LimitRow,
-    organisation: string,
-    kind: string,
-    stages: readonly StageCosts[],
-    mayWait: boolean,
-  ): CascadePlan {
-    const key = `${organisation}/${kind}/${stages.map(stage => stage.model).join('>')}/${mayWait}`
+  #refresh(known: KnownOrganisation, kind: KnownKind, limit: LimitRow): void {
     const now = this.options.clock.now()
-    const kept = this.#plans.get(key)
-    if (kept && now - kept.madeAt < PLAN_FOR) return kept.plan
+    if (now - known.pricedAt >= PRICE_FOR) {
+      known.pricedAt = now
+      const outlooks = [...known.kinds.values()].map(each => ({
+        share: each.share,
+        ...this.#outlookOf(each, limit),
+      }))
+      known.price = solveQualityPrice(outlooks, correctedTarget(this.#check, limit.qualityTarget))
+    }
+    if (kind.plan && now - kind.plannedAt < PLAN_FOR) return
+    kind.plannedAt = now
+    const { stages, millisecondOfDelay } = this.#outlookOf(kind, limit)
+    kind.plan = planCascade(stages, { badAnswer: known.price, millisecondOfDelay })
+  }
+
+  #outlookOf({ name, stages, mayWait }: KnownKind, limit: LimitRow) {
     const outlooks: StageOutlook[] = stages.map(stage => ({
       ...stage,
-      counts: countsOf(this.#estimates, kind, stage.model),
+      counts: countsOf(this.#estimates, name, stage.model),
     }))
-    const millisecondOfDelay = mayWait ? DELAY_PRICES[limit.weighs] : Infinity
-    const badAnswer = this.#priceOf(organisation).badAnswer
-    const plan = planCascade(outlooks, { badAnswer, millisecondOfDelay })
-    this.#plans.set(key, { plan, madeAt: now })
-    return plan
+    return {
+      stages: outlooks,
+      millisecondOfDelay: mayWait ? DELAY_PRICES[limit.weighs] : Infinity,
+    }
   }
 
   #explore(kind: string, stages: readonly StageCosts[]): number | undefined {
@@ -120,12 +161,53 @@
     return ratedCount(counts) < EXPLORED_RATINGS ? other : undefined
   }
 
-  /** One price for all kinds of an organisation: quality is bought where it costs least. */
-  #priceOf(organisation: string): QualityPrice {
-    const known = this.#prices.get(organisation)
+  #learnsConfidence(kind: string, model: string): boolean {
+    const { rated } = countsOf(this.#estimates, kind, model)
+    const learned = rated.reduce((sum, count) => sum + count, 0)
+    const share = learned < LEARNED_RATINGS ? JUDGED_FOR_LEARNING : JUDGED_AFTERWARDS
+    return this.options.random() < share
+  }
+
+  #organisationOf(name: string): KnownOrganisation {
+    const known = this.#organisations.get(name)
     if (known) return known
-    const created = createQualityPrice()
-    this.#prices.set(organisation, created)
+    const created: KnownOrganisation = {
+      kinds: new Map(),
+      price: FIRST_PRICE,
+      pricedAt: this.options.clock.now(),
+    }
+    this.#organisations.set(name, created)
+    return created
+  }
+}
+
+/** Notes that a request of the kind came, with what its stages are expected to cost. */
+function noteKind(
+  known: KnownOrganisation,
+  name: string,
+  stages: readonly StageCosts[],
+  mayWait: boolean,
+): KnownKind {
+  const key = `${name}/${stages.map(stage => stage.model).join('>')}/${mayWait}`
+  for (const kind of known.kinds.values()) kind.share *= 1 - KIND_STEP
+  const kind = known.kinds.get(key)
+  if (!kind) {
+    const created = { name, mayWait, share: KIND_STEP, stages: [...stages], plannedAt: -Infinity }
+    known.kinds.set(key, created)
     return created
   }
+  kind.share += KIND_STEP
+  kind.stages = kind.stages.map((stage, index) => smooth(stage, stages[index]!))
+  return kind
+}
+
+const COST_STEP = 1 / 100
+
+function smooth(known: StageCosts, seen: StageCosts): StageCosts {
+  const mix = (left: number, right: number) => left + COST_STEP * (right - left)
+  return {
+    model: known.model,
+    cost: mix(known.cost, seen.cost),
+    wholeAnswerMilliseconds: mix(known.wholeAnswerMilliseconds, seen.wholeAnswerMilliseconds),
+  }
 }
--- /dev/null
+++ b/packages/ctl/bin/yewkeelctl.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runYewkeelctl } from '../dist/src/node/main.js'
+
+runYewkeelctl()
--- a/packages/decisions/src/choice/cascadePlan.ts
+++ b/packages/decisions/src/choice/cascadePlan.ts
@@ -72,7 +72,8 @@
 function decideJudged(stage: StageOutlook, next: StageDecision, prices: PlanPrices): StageDecision {
   const shares = bucketShares(stage.counts)
   const accepts: boolean[] = []
-  let value = stage.cost + prices.millisecondOfDelay * stage.wholeAnswerMilliseconds
+  const delay = prices.millisecondOfDelay * stage.wholeAnswerMilliseconds
+  let value = stage.cost + delay
   let expectedQuality = 0
   let expectedCost = stage.cost
   for (let bucket = 0; bucket < CONFIDENCE_BUCKETS; bucket++) {
--- a/packages/decisions/src/choice/qualityEstimates.ts
+++ b/packages/decisions/src/choice/qualityEstimates.ts
@@ -5,9 +5,9 @@
 import type { Milliseconds } from '../types/clock.js'
 
 /** Confidence of an engine in its answer, cut into this many buckets. */
-export const CONFIDENCE_BUCKETS = 6
+export const CONFIDENCE_BUCKETS = 11
 /** Upper edges of all buckets but the last, in mean probability of a token. */
-const BUCKET_EDGES = [0.3, 0.5, 0.65, 0.8, 0.9]
+const BUCKET_EDGES = [0.3, 0.4, 0.5, 0.55, 0.6, 0.65, 0.7, 0.75, 0.8, 0.9]
 
 /** The bucket of an answer's confidence, which is the mean probability of its tokens, 0 to 1. */
 export function bucketOf(confidence: number): number {
--- a/packages/proof/src/measures/measureRow.ts
+++ b/packages/proof/src/measures/measureRow.ts
@@ -18,7 +18,10 @@
 }
 
 /** A measurement. Says what it does now through `note`. */
-export type Measure = (options: MeasureOptions, note: (text: string) => void) => Promise<MeasureRow[]>
+export type Measure = (
+  options: MeasureOptions,
+  note: (text: string) => void,
+) => Promise<MeasureRow[]>
 
 type Labels = Pick<MeasureRow, 'workload' | 'case' | 'policy' | 'metric' | 'unit'>
 
--- a/packages/proof/src/node/measure.ts
+++ b/packages/proof/src/node/measure.ts
@@ -33,7 +33,16 @@
   })
   for (const row of rows) {
     const { workload, metric, unit, runs } = row
-    table.push([workload, row.case, row.policy, metric, format(row.mean), format(row.spread), unit, runs])
+    table.push([
+      workload,
+      row.case,
+      row.policy,
+      metric,
+      format(row.mean),
+      format(row.spread),
+      unit,
+      runs,
+    ])
   }
   console.log(table.toString())
 }
