Measure overhead against a bare forwarder; send peers' messages of one turn in one frame

Change: messages to one peer within a turn of the event loop share a frame; the deadline of an upstream's answer is the client's own limit instead of an abort controller for each request.

--- a/packages/box/src/node/httpPlatform.ts
+++ b/packages/box/src/node/httpPlatform.ts
@@ -103,7 +103,7 @@
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(body),
     },
-    AbortSignal.timeout(PATIENCE),
+    { signal: AbortSignal.timeout(PATIENCE) },
   )
   const text = await readText(answer.body)
   // A server error does not say whether the write took effect.
@@ -118,7 +118,7 @@
 ): Promise<T | undefined> {
   try {
     const signal = AbortSignal.timeout(PATIENCE)
-    const answer = await client.send(address, { method: 'GET', path, headers: {} }, signal)
+    const answer = await client.send(address, { method: 'GET', path, headers: {} }, { signal })
     const text = await readText(answer.body)
     return answer.status === 200 ? (JSON.parse(text) as T) : undefined
   } catch {
--- a/packages/box/src/node/upstreamClient.ts
+++ b/packages/box/src/node/upstreamClient.ts
@@ -1,6 +1,7 @@
 import { Pool, type Dispatcher } from 'undici'
 import {
   UpstreamFailure,
+  type SendLimits,
   type Sent,
   type UpstreamAnswer,
   type UpstreamClient,
@@ -20,7 +21,7 @@
   async send(
     address: string,
     request: UpstreamRequest,
-    signal?: AbortSignal,
+    { signal, answerWithin = 0 }: SendLimits = {},
   ): Promise<UpstreamAnswer> {
     try {
       const answer = await this.#poolOf(address).request({
@@ -30,6 +31,8 @@
         body: request.body ?? null,
         // A request that may not run twice is never pipelined behind another and never sent again.
         idempotent: false,
+        // 0 sets no limit.
+        headersTimeout: Math.max(0, Math.ceil(answerWithin)),
         ...(signal && { signal }),
       })
       return {
@@ -38,7 +41,7 @@
         body: answer.body,
       }
     } catch (error) {
-      throw new UpstreamFailure(sentOf(error), String(error))
+      throw new UpstreamFailure(sentOf(error), String(error), isLate(error))
     }
   }
 
@@ -61,6 +64,10 @@
   }
 }
 
+function isLate(error: unknown): boolean {
+  return (error as { code?: string }).code === 'UND_ERR_HEADERS_TIMEOUT'
+}
+
 function sentOf(error: unknown): Sent {
   const { code } = error as { code?: string }
   return code !== undefined && NOT_SENT.has(code) ? 'no' : 'maybe'
--- a/packages/box/src/node/wsTransport.ts
+++ b/packages/box/src/node/wsTransport.ts
@@ -31,6 +31,8 @@
 interface Link {
   socket: WebSocket
   peer?: PeerIdentity
+  /** Messages of this turn of the event loop; they go out in one frame. */
+  waiting: PeerMessage[]
 }
 
 /**
@@ -102,13 +104,23 @@
       link.socket.terminate()
       return false
     }
-    link.socket.send(this.#packer.pack(message))
+    // Under load many messages fall into one turn, and a frame costs more than what is in it.
+    if (link.waiting.push(message) === 1) setImmediate(() => this.#flush(link))
     return true
   }
 
+  #flush(link: Link): void {
+    const messages = link.waiting
+    link.waiting = []
+    if (link.socket.readyState === WebSocket.OPEN) link.socket.send(this.#packer.pack(messages))
+  }
+
   async close(): Promise<void> {
     this.#isClosed = true
-    for (const { socket } of this.#links.values()) socket.close()
+    for (const link of this.#links.values()) {
+      this.#flush(link)
+      link.socket.close()
+    }
     for (const socket of this.#sockets?.clients ?? []) socket.terminate()
     await new Promise(resolve => (this.#server ? this.#server.close(resolve) : resolve(undefined)))
   }
@@ -125,7 +137,7 @@
       headers: { [SECRET_HEADER]: secret, [IDENTITY_HEADER]: JSON.stringify(self) },
       maxPayload: LARGEST_MESSAGE,
     })
-    const link: Link = { socket }
+    const link: Link = { socket, waiting: [] }
     this.#links.set(address, link)
     // The accepting side says who it is in its first message.
     socket.on('message', (bytes: Buffer) => this.#identify(link, bytes))
@@ -159,16 +171,18 @@
     socket.send(JSON.stringify(this.options.self))
     socket.on('error', () => socket.terminate())
     socket.on('message', (bytes: Buffer) => {
-      const message = this.#unpack(bytes)
-      if (message) this.#listener?.onMessage(peer, message)
-      else socket.terminate()
+      const messages = this.#unpack(bytes)
+      if (!messages) return socket.terminate()
+      for (const message of messages) this.#listener?.onMessage(peer, message)
     })
   }
 
-  #unpack(bytes: Buffer): PeerMessage | undefined {
+  /** Undefined for a frame that is not a list of messages. */
+  #unpack(bytes: Buffer): PeerMessage[] | undefined {
     try {
-      const message = this.#packer.unpack(bytes) as PeerMessage | undefined
-      return typeof message?.type === 'string' ? message : undefined
+      const messages = this.#packer.unpack(bytes) as PeerMessage[]
+      const isList = Array.isArray(messages)
+      return isList && messages.every(message => typeof message?.type === 'string') ? messages : undefined
     } catch {
       return undefined
     }
--- a/packages/box/src/operators/handleOperator.ts
+++ b/packages/box/src/operators/handleOperator.ts
@@ -193,7 +193,7 @@
       state: view.state,
       health: view.health.state,
       serves: [...view.serves],
-      load: predictLoad(view),
+      load: Math.round(predictLoad(view, services.clock.now())),
       slots: view.slots,
     })),
   }
@@ -274,7 +274,7 @@
         name: view.id,
         state: view.state,
         health: view.health.state,
-        predictedFirstTokenMilliseconds: Math.round(predictFirstToken(view, outlook)),
+        predictedFirstTokenMilliseconds: Math.round(predictFirstToken(view, outlook, services.clock.now())),
       })),
     }
   })
--- a/packages/box/src/requests/resumeStream.ts
+++ b/packages/box/src/requests/resumeStream.ts
@@ -24,7 +24,7 @@
     const answer = await services.client.send(
       view.address,
       { method: 'GET', path, headers: {} },
-      request.signal,
+      { signal: request.signal },
     )
     if (answer.status !== 200) return answerRefusal(responder, refuseUnknownStream(requestId), id)
     responder.start(200, { 'content-type': 'text/event-stream', 'x-request-id': requestId })
--- a/packages/box/src/requests/sendToUpstream.ts
+++ b/packages/box/src/requests/sendToUpstream.ts
@@ -102,8 +102,9 @@
   const own = uses.get(organisation)
   if (own) own.share = limit.share
   const pool = {
-    firstToken: predictFirstToken(view, outlook),
+    firstToken: predictFirstToken(view, outlook, services.clock.now()),
     utilisation: services.upstreams.utilisationOf(plan.served),
+    takesCalls: view.kind === 'service',
     uses,
   }
   return admit(plan.admission, pool, services.clock.now())
@@ -118,8 +119,8 @@
   const { services, organisation, limit, request } = context
   const { plan } = options
   const streamId = `${context.id}/${plan.served}/${tries}`
-  const queue = predictQueue(view)
   const sentAt = services.clock.now()
+  const queue = predictQueue(view, sentAt)
   const span = services.tracer.start(`upstream ${view.id}`, context.span)
   span.set({ 'upstream.id': view.id, 'upstream.served': plan.served })
   options.onChosen(view, streamId)
@@ -127,17 +128,19 @@
   services.uses.add(plan.served, organisation, limit.share)
 
   const release = once((ended: 'well' | 'badly') => {
-    noteEnded(view)
+    noteEnded(view, services.clock.now())
     services.uses.remove(plan.served, organisation)
     if (ended === 'well') noteSuccess(view, services.clock.now() - sentAt)
     else noteFailure(view, services.clock.now())
     span.end(ended === 'badly' ? 'the upstream failed' : undefined)
   })
-  const patience = startPatience(context, plan.admission.deadline)
   try {
     const built = options.buildRequest(view, streamId)
     if (span.traceparent) built.headers.traceparent = span.traceparent
-    const answer = await services.client.send(view.address, built, patience.signal)
+    const answer = await services.client.send(view.address, built, {
+      signal: request.signal,
+      answerWithin: plan.admission.deadline - sentAt,
+    })
     if (answer.status >= 500 || NOT_TAKEN.has(answer.status)) {
       release(answer.status === 429 || answer.status === 404 ? 'well' : 'badly')
       return Result.err(
@@ -150,33 +153,11 @@
     release(request.signal.aborted ? 'well' : 'badly')
     const failure =
       error instanceof UpstreamFailure ? error : new UpstreamFailure('maybe', String(error))
-    if (patience.expired) return Result.err(refuseLate(failure))
+    if (failure.late) return Result.err(refuseLate(failure))
     return Result.err(refuseFailed(view, failure.message, failure.sent === 'no'))
-  } finally {
-    patience.stop()
   }
 }
 
-/** Aborts when the caller hangs up, or the first token's deadline passes. */
-function startPatience({ services, request }: RequestContext, deadline: Milliseconds) {
-  const controller = new AbortController()
-  const abort = () => controller.abort()
-  request.signal.addEventListener('abort', abort)
-  const patience = {
-    signal: controller.signal,
-    expired: false,
-    stop() {
-      timer.cancel()
-      request.signal.removeEventListener('abort', abort)
-    },
-  }
-  const timer = services.clock.after(deadline - services.clock.now(), () => {
-    patience.expired = true
-    abort()
-  })
-  return patience
-}
-
 function refuseNoUpstream(plan: SendPlan): Refusal {
   return refuseNotRun(
     'no-upstream',
--- a/packages/box/src/tasks/upstreamTask.ts
+++ b/packages/box/src/tasks/upstreamTask.ts
@@ -1,6 +1,7 @@
 import {
   createUpstreamView,
   noteReport,
+  predictLoad,
   PrefixMap,
   type Clock,
   type Milliseconds,
@@ -94,17 +95,12 @@
 
   /** Requests under way against slots, over the live upstreams of a pool. */
   utilisationOf(served: string): number {
+    const now = this.options.clock.now()
     let load = 0
     let slots = 0
     for (const view of this.poolOf(served)) {
       if (view.state !== 'live' || view.health.state === 'ejected') continue
-      load += Math.max(
-        view.report.running +
-          view.report.waiting +
-          view.sentSinceReport.length -
-          view.endedSinceReport,
-        view.inFlight + view.peersInFlight,
-      )
+      load += predictLoad(view, now)
       slots += view.slots
     }
     return slots > 0 ? load / slots : Infinity
@@ -206,20 +202,16 @@
   async #readReport(view: UpstreamView): Promise<void> {
     const { clock, client } = this.options
     const askedAt = clock.now()
-    const patience = new AbortController()
-    const timer = clock.after(REPORT_PATIENCE, () => patience.abort())
     try {
       const answer = await client.send(
         view.address,
         { method: 'GET', path: '/load', headers: {} },
-        patience.signal,
+        { answerWithin: REPORT_PATIENCE },
       )
       const report = JSON.parse(await readText(answer.body)) as ReportBody
       this.#takeReport(view, report, askedAt)
     } catch {
       // The next report or the requests themselves will show what is wrong.
-    } finally {
-      timer.cancel()
     }
   }
 
--- a/packages/box/src/types/ports.ts
+++ b/packages/box/src/types/ports.ts
@@ -9,6 +9,8 @@
   constructor(
     readonly sent: Sent,
     message: string,
+    /** The answer did not begin in the time that was given. */
+    readonly late = false,
   ) {
     super(message)
   }
@@ -27,9 +29,16 @@
   body: AsyncIterable<Uint8Array>
 }
 
+export interface SendLimits {
+  /** Aborted when the answer is no longer wanted. */
+  signal?: AbortSignal
+  /** How long the answer may take to begin. */
+  answerWithin?: Milliseconds
+}
+
 /** Speaks to engines and plain services. `send` rejects with `UpstreamFailure` only; it never sends twice. */
 export interface UpstreamClient {
-  send(address: string, request: UpstreamRequest, signal?: AbortSignal): Promise<UpstreamAnswer>
+  send(address: string, request: UpstreamRequest, limits?: SendLimits): Promise<UpstreamAnswer>
 }
 
 /** A machine as the platform's list shows it. */
--- a/packages/decisions/src/admission/admission.ts
+++ b/packages/decisions/src/admission/admission.ts
@@ -28,14 +28,18 @@
   firstToken: Milliseconds
   /** Requests under way against slots, over the pool. */
   utilisation: number
+  /** Whether calls that may not be repeated go to the pool too. */
+  takesCalls: boolean
   /** Use by organisation, in the whole pool as far as is known. */
   uses: ReadonlyMap<string, PoolUse>
 }
 
 /** Utilisation above which each priority is held to its organisation's share, and above which it is shed. */
-const SHARE_ABOVE: Record<Priority, number> = { low: 0.7, normal: 0.85, high: 1 }
-const SHED_ABOVE: Record<Priority, number> = { low: 1, normal: 1.15, high: 1.5 }
+const SHARE_ABOVE: Record<Priority, number> = { low: 0.95, normal: 1, high: 1.1 }
+const SHED_ABOVE: Record<Priority, number> = { low: 1.1, normal: 1.15, high: 1.5 }
 const CALL_SHED_ABOVE = 3
+/** In a pool that takes calls too, all else is shed at this share of the usual bound, to keep them in time. */
+const SHED_FOR_CALLS = 0.75
 /** An organisation may use this many times its share before it is held back. */
 const SHARE_SLACK = 1.25
 const SOONEST_RETRY: Milliseconds = 250
@@ -53,7 +57,7 @@
       retryAfterOf(pool),
     )
   }
-  const shedAbove = request.isCall ? CALL_SHED_ABOVE : SHED_ABOVE[request.priority]
+  const shedAbove = resolveShedBound(request, pool)
   if (pool.utilisation > shedAbove) {
     return refuseNotRun(
       'overloaded',
@@ -72,6 +76,11 @@
   return undefined
 }
 
+function resolveShedBound(request: AdmissionRequest, pool: PoolOutlook): number {
+  if (request.isCall) return CALL_SHED_ABOVE
+  return SHED_ABOVE[request.priority] * (pool.takesCalls ? SHED_FOR_CALLS : 1)
+}
+
 function isOverShare(organisation: string, pool: PoolOutlook): boolean {
   const own = pool.uses.get(organisation)
   if (!own || own.inFlight === 0 || pool.uses.size < 2) return false
--- a/packages/decisions/src/upstreams/chooseUpstream.ts
+++ b/packages/decisions/src/upstreams/chooseUpstream.ts
@@ -29,7 +29,7 @@
 export const UPSTREAM_STRATEGIES: Record<UpstreamStrategyName, UpstreamStrategy> = {
   predicted: choice =>
     leastBy(sample(choice, SAMPLE_SIZE, choice.affine), view =>
-      predictFirstToken(view, choice.request),
+      predictFirstToken(view, choice.request, choice.now),
     ),
   'round-robin': choice => firstFrom(choice, choice.turn % Math.max(1, choice.pool.length)),
   random: choice => sample(choice, 1)[0],
@@ -38,7 +38,7 @@
       choice.pool.filter(view => isOpen(choice, view)),
       view => view.report.running + view.report.waiting,
     ),
-  'two-choices': choice => leastBy(sample(choice, 2), predictLoad),
+  'two-choices': choice => leastBy(sample(choice, 2), view => predictLoad(view, choice.now)),
 }
 
 /** The upstream for a request, undefined when none takes work. */
--- a/packages/decisions/src/upstreams/upstreamView.ts
+++ b/packages/decisions/src/upstreams/upstreamView.ts
@@ -27,10 +27,12 @@
   inFlight: number
   /** Requests of other boxes under way there, as they last said. */
   peersInFlight: number
-  /** Instants at which this box's requests were sent since the last report. */
-  sentSinceReport: Milliseconds[]
-  /** Ends of this box's requests since the last report. */
-  endedSinceReport: number
+  /** This box's requests under way when the last report was made. */
+  inFlightAtReport: number
+  /** Requests of others at reports, smoothed. */
+  usualOthers: number
+  /** Instants and counts of this box's requests under way, the latest last, back to the last report. */
+  history: { at: Milliseconds; inFlight: number }[]
   /** Smoothed first-token time with no queue, and time of a whole request. */
   firstTokenMilliseconds: number
   requestMilliseconds: number
@@ -51,6 +53,8 @@
 const FIRST_EJECTION: Milliseconds = 2_000
 const LONGEST_EJECTION: Milliseconds = 60_000
 const SMOOTHING = 0.1
+const OTHERS_SMOOTHING = 0.2
+const LONGEST_HISTORY = 256
 
 export function createUpstreamView(
   known: Pick<UpstreamView, 'id' | 'kind' | 'address' | 'dataCentre' | 'slots'>,
@@ -62,8 +66,9 @@
     report: { at: -Infinity, running: 0, waiting: 0 },
     inFlight: 0,
     peersInFlight: 0,
-    sentSinceReport: [],
-    endedSinceReport: 0,
+    inFlightAtReport: 0,
+    usualOthers: 0,
+    history: [],
     firstTokenMilliseconds: 200,
     requestMilliseconds: 2_000,
     health: { state: 'healthy', failures: 0, ejectedUntil: 0, ejections: 0 },
@@ -82,18 +87,32 @@
 
 export function noteSent(view: UpstreamView, now: Milliseconds): void {
   view.inFlight++
-  view.sentSinceReport.push(now)
+  noteHistory(view, now)
 }
 
-export function noteEnded(view: UpstreamView): void {
+export function noteEnded(view: UpstreamView, now: Milliseconds): void {
   view.inFlight--
-  view.endedSinceReport++
+  noteHistory(view, now)
 }
 
+/** Takes a report, which was made some time ago: it is compared with what this box had there then. */
 export function noteReport(view: UpstreamView, report: LoadReport): void {
+  const later = view.history.findIndex(entry => entry.at > report.at)
+  const known = later === -1 ? view.history.at(-1) : view.history[later - 1]
+  view.inFlightAtReport = known?.inFlight ?? view.inFlightAtReport
+  view.history = later === -1 ? view.history.slice(-1) : view.history.slice(Math.max(0, later - 1))
   view.report = report
-  view.sentSinceReport = view.sentSinceReport.filter(at => at > report.at)
-  view.endedSinceReport = 0
+  view.usualOthers += OTHERS_SMOOTHING * (othersAtReport(view) - view.usualOthers)
+}
+
+/** Requests of other boxes at the upstream when it made its last report. */
+export function othersAtReport(view: UpstreamView): number {
+  return Math.max(0, view.report.running + view.report.waiting - view.inFlightAtReport)
+}
+
+function noteHistory(view: UpstreamView, now: Milliseconds): void {
+  view.history.push({ at: now, inFlight: view.inFlight })
+  if (view.history.length > LONGEST_HISTORY) view.history.shift()
 }
 
 export function noteFirstToken(
--- a/packages/proof/src/node/demo.ts
+++ b/packages/proof/src/node/demo.ts
@@ -9,7 +9,7 @@
 import Table from 'cli-table3'
 import { request } from 'undici'
 import { DEMO_ROWS } from '../world/demoTable.js'
-import { CALLER_KEY, OPERATOR_KEY, startSystem, type RunningSystem } from '../world/startSystem.js'
+import { applyRows, CALLER_KEY, OPERATOR_KEY, startSystem, type RunningSystem } from '../world/startSystem.js'
 
 /** What one request of the demo came to. */
 interface DemoResult {
@@ -198,23 +198,10 @@
   ]
 }
 
-async function applyTable(
-  { boxes }: RunningSystem,
-  rows: TableRow[],
-  changeId: string,
-): Promise<number> {
-  const address = boxes[0]!.operatorsAddress
-  const headers = { authorization: `Bearer ${OPERATOR_KEY}`, 'content-type': 'application/json' }
-  const current = await request(`http://${address}/table`, { headers })
-  const { revision: baseRevision } = (await current.body.json()) as { revision: number }
-  const answer = await request(`http://${address}/table/changes`, {
-    method: 'POST',
-    headers,
-    body: JSON.stringify({ changeId, baseRevision, rows }),
-  })
-  const outcome = (await answer.body.json()) as { outcome: string; revision: number }
-  console.log(`table change "${changeId}": ${outcome.outcome}, revision ${outcome.revision}\n`)
-  return outcome.revision
+async function applyTable({ boxes }: RunningSystem, rows: TableRow[], changeId: string): Promise<number> {
+  const applied = await applyRows(boxes[0]!.operatorsAddress, rows, changeId)
+  console.log(`table change "${changeId}": ${applied.outcome}, revision ${applied.revision}\n`)
+  return applied.revision
 }
 
 function readBills({ standIns }: RunningSystem): Bill[] {
--- a/packages/proof/src/node/measure.ts
+++ b/packages/proof/src/node/measure.ts
@@ -1,13 +1,25 @@
 import Table from 'cli-table3'
+import { writeFileSync } from 'node:fs'
 import { measureFaults } from '../measures/faults.js'
 import type { Measure, MeasureRow } from '../measures/measureRow.js'
+import { measureOverhead } from '../measures/overhead.js'
+import { plotRows } from '../measures/plotRows.js'
+import { measurePolicy } from '../measures/policy.js'
+import { measureSlopes } from '../measures/slopes.js'
 
-const MEASURES: Record<string, Measure> = { faults: measureFaults }
+const MEASURES: Record<string, Measure> = {
+  overhead: measureOverhead,
+  faults: measureFaults,
+  policy: measurePolicy,
+  slopes: measureSlopes,
+}
+
+const DEFAULT_SEEDS: Record<string, number> = { overhead: 3, faults: 3, policy: 10, slopes: 1 }
 
 const [name = '', ...flags] = process.argv.slice(2)
 const measure = MEASURES[name]
 if (!measure) {
-  console.error(`usage: npm run measure -- NAME [--json] [--seeds FROM-TO] [--quick]`)
+  console.error(`usage: npm run measure -- NAME [--json] [--seeds FROM-TO] [--quick] [--plot FILE.svg]`)
   console.error(`NAME is one of ${Object.keys(MEASURES).join(', ')}`)
   process.exit(2)
 }
@@ -15,14 +27,16 @@
 const rows = await measure({ seeds: readSeeds(), quick: flags.includes('--quick') }, text => {
   if (!isJson) process.stderr.write(`${text}\n`)
 })
+const plotAt = flags.indexOf('--plot')
+if (plotAt !== -1) writeFileSync(flags[plotAt + 1] ?? `${name}.svg`, await plotRows(rows))
 if (isJson) console.log(JSON.stringify({ measure: name, rows }))
 else printRows(rows)
 process.exit(0)
 
-/** Seeds of `--seeds FROM-TO`; 1-3 when none are given. */
+/** Seeds of `--seeds FROM-TO`; as many as the measurement's goals ask for when none are given. */
 function readSeeds(): number[] {
   const at = flags.indexOf('--seeds')
-  const [from = 1, to = 3] = at === -1 ? [] : (flags[at + 1] ?? '').split('-').map(Number)
+  const [from = 1, to = DEFAULT_SEEDS[name] ?? 3] = at === -1 ? [] : (flags[at + 1] ?? '').split('-').map(Number)
   return Array.from({ length: Math.max(1, to - from + 1) }, (_, index) => from + index)
 }
 
--- a/packages/proof/src/world/memoryNetwork.ts
+++ b/packages/proof/src/world/memoryNetwork.ts
@@ -111,11 +111,14 @@
   box: PausableClock,
 ): UpstreamClient {
   return {
-    async send(address, request, signal) {
+    async send(address, request, { signal, answerWithin } = {}) {
       const handler = world.handlers.get(address)
       if (!handler) throw new UpstreamFailure('no', 'nothing listens there')
       const answering = reach(world, handler, request, signal)
-      const answer = await (signal ? Promise.race([answering, aborted(signal)]) : answering)
+      const waits: Promise<UpstreamAnswer>[] = [answering]
+      if (signal) waits.push(aborted(signal))
+      if (answerWithin !== undefined) waits.push(expired(world.clock, answerWithin))
+      const answer = await Promise.race(waits)
       await box.gate()
       return { ...answer, body: delivered(answer.body, box) }
     },
@@ -161,6 +164,12 @@
   })
 }
 
+function expired(clock: Clock, after: Milliseconds): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    clock.after(after, () => reject(new UpstreamFailure('maybe', 'no answer in time', true)))
+  })
+}
+
 function voterOf({ identity }: Member): string {
   return formatVoter(identity.box, identity.incarnation)
 }
--- a/packages/proof/src/world/startSystem.ts
+++ b/packages/proof/src/world/startSystem.ts
@@ -8,7 +8,9 @@
   type Settings,
   type SettingsInput,
 } from '@yewkeel/box'
+import type { TableRow } from '@yewkeel/decisions'
 import { startStandIns, type RunningStandIns, type StandInSettings } from '@yewkeel/stand-ins'
+import { request } from 'undici'
 
 export const CALLER_KEY = 'caller-key-of-belle-mare'
 export const OPERATOR_KEY = 'operator-key-of-the-demo'
@@ -53,22 +55,52 @@
   earlier: readonly RunningBox[],
   overrides: Partial<SettingsInput>,
 ): Settings {
-  const { table, boxList, ratings } = standIns.addresses
-  return settingsSchema.parse({
+  const seeds = earlier.map(box => box.peerAddress)
+  return settingsSchema.parse(settingsInputFor(index, standIns.addresses, seeds, overrides))
+}
+
+/** The same, as they are written in a file. */
+export function settingsInputFor(
+  index: number,
+  addresses: { table: string; boxList: string; ratings: string },
+  seeds: string[],
+  overrides: Partial<SettingsInput>,
+): SettingsInput {
+  const { table, boxList, ratings } = addresses
+  return {
     box: `box-${index + 1}`,
     dataCentre: `dc-${(index % 3) + 1}`,
     entry: { listen: '127.0.0.1:0' },
     operators: { listen: '127.0.0.1:0' },
-    peers: {
-      listen: '127.0.0.1:0',
-      seeds: earlier.map(box => box.peerAddress),
-      secret: 'shared-by-the-boxes-of-the-demo',
-    },
+    peers: { listen: '127.0.0.1:0', seeds, secret: 'shared-by-the-boxes-of-the-demo' },
     platform: { table, boxList, ratings },
     organisations: [{ name: ORGANISATION, keys: [hashKey(CALLER_KEY)] }],
     operatorKeys: [{ name: 'operator', key: hashKey(OPERATOR_KEY) }],
     sessionKeys: [{ id: 'first', secret: 'signs-the-sessions-of-the-demo' }],
     addressLifetimeMilliseconds: 1_000,
     ...overrides,
-  } satisfies SettingsInput)
+  }
+}
+
+/** What an operator is told of a change. */
+export interface AppliedChange {
+  outcome: string
+  revision: number
+}
+
+/** Makes rows the whole table, as `yewkeelctl apply` does. */
+export async function applyRows(
+  operatorsAddress: string,
+  rows: readonly TableRow[],
+  changeId = 'first-table',
+): Promise<AppliedChange> {
+  const headers = { authorization: `Bearer ${OPERATOR_KEY}`, 'content-type': 'application/json' }
+  const current = await request(`http://${operatorsAddress}/table`, { headers })
+  const { revision: baseRevision } = (await current.body.json()) as { revision: number }
+  const answer = await request(`http://${operatorsAddress}/table/changes`, {
+    method: 'POST',
+    headers,
+    body: JSON.stringify({ changeId, baseRevision, rows }),
+  })
+  return (await answer.body.json()) as AppliedChange
 }
