--- a/packages/box/src/node/readSettings.ts
+++ b/packages/box/src/node/readSettings.ts
@@ -8,7 +8,7 @@
 export function parseSettings(text: string): Result<Settings, InputIssue[]> {
   let fields: unknown
   try {
-    fields = parse(text)
+    fields = parse(text, { logLevel: 'error' })
   } catch (error) {
     const { message, linePos } = error as Error & { linePos?: { line: number }[] }
     const line = linePos?.[0]?.line ?? 1
--- a/packages/box/src/node/wsTransport.ts
+++ b/packages/box/src/node/wsTransport.ts
@@ -182,7 +182,9 @@
     try {
       const messages = this.#packer.unpack(bytes) as PeerMessage[]
       const isList = Array.isArray(messages)
-      return isList && messages.every(message => typeof message?.type === 'string') ? messages : undefined
+      return isList && messages.every(message => typeof message?.type === 'string')
+        ? messages
+        : undefined
     } catch {
       return undefined
     }
--- a/packages/box/src/operators/handleOperator.ts
+++ b/packages/box/src/operators/handleOperator.ts
@@ -274,7 +274,9 @@
         name: view.id,
         state: view.state,
         health: view.health.state,
-        predictedFirstTokenMilliseconds: Math.round(predictFirstToken(view, outlook, services.clock.now())),
+        predictedFirstTokenMilliseconds: Math.round(
+          predictFirstToken(view, outlook, services.clock.now()),
+        ),
       })),
     }
   })
--- a/packages/decisions/src/table/parseTable.ts
+++ b/packages/decisions/src/table/parseTable.ts
@@ -86,7 +86,7 @@
 
 function readYamlRows(text: string): Result<WrittenRow[], InputIssue[]> {
   const lines = new LineCounter()
-  const document = parseDocument(text, { lineCounter: lines })
+  const document = parseDocument(text, { lineCounter: lines, logLevel: 'silent' })
   if (document.errors.length > 0) {
     return Result.err(
       document.errors.map(error => ({
--- /dev/null
+++ b/packages/decisions/test/placement.test.ts
@@ -0,0 +1,78 @@
+import { expect } from 'chai'
+import { planPlacement, type PlacedEngine, type VersionDemand } from '@yewkeel/decisions'
+
+function engines(count: number, serves: string[]): PlacedEngine[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `engine-${index}`,
+    serves: [...serves],
+    room: 1,
+    inFlight: 0,
+    checksFence: true,
+    emptying: false,
+  }))
+}
+
+/** Carries out one round of steps as engines would. */
+function carryOut(placed: PlacedEngine[], demands: VersionDemand[]): number {
+  const steps = planPlacement(placed, demands, { parallelLoads: 2, missingShare: 0.25 })
+  for (const step of steps) {
+    const engine = placed.find(engine => engine.id === step.engine)!
+    if (step.step === 'empty') engine.emptying = true
+    if (step.step === 'refill') engine.emptying = false
+    if (step.step === 'load') {
+      engine.serves = engine.serves.filter(version => version !== step.unload)
+      engine.loading = step.version
+    }
+  }
+  return steps.length
+}
+
+function finishLoads(placed: PlacedEngine[]): void {
+  for (const engine of placed.filter(engine => engine.loading !== undefined)) {
+    engine.serves = [...engine.serves, engine.loading!]
+    delete engine.loading
+  }
+}
+
+describe('placement', () => {
+  const demands = [
+    { version: 'm@1', engines: 4 },
+    { version: 'm@2', engines: 4 },
+  ]
+
+  it('moves half of the engines to a new version and never has more than a quarter missing', () => {
+    const placed = engines(8, ['m@1'])
+    for (let round = 0; round < 40; round++) {
+      carryOut(placed, demands)
+      const missing = placed.filter(engine => engine.emptying || engine.loading !== undefined)
+      expect(missing.length).to.be.at.most(2)
+      finishLoads(placed)
+    }
+    const count = (version: string) =>
+      placed.filter(engine => engine.serves.includes(version)).length
+    expect([count('m@1'), count('m@2')]).to.deep.equal([4, 4])
+    expect(placed.some(engine => engine.emptying)).to.equal(false)
+  })
+
+  it('unloads nothing from an engine that still has work', () => {
+    const placed = engines(4, ['m@1'])
+    carryOut(placed, demands)
+    const emptied = placed.filter(engine => engine.emptying)
+    for (const engine of emptied) engine.inFlight = 1
+    carryOut(placed, demands)
+    expect(placed.some(engine => engine.loading !== undefined)).to.equal(false)
+  })
+
+  it('goes on with a roll-out that was cut off halfway, and does nothing when all is in place', () => {
+    const placed = [...engines(2, ['m@1']), ...engines(2, ['m@2'])].map((engine, index) => ({
+      ...engine,
+      id: `engine-${index}`,
+    }))
+    const even = [
+      { version: 'm@1', engines: 2 },
+      { version: 'm@2', engines: 2 },
+    ]
+    expect(planPlacement(placed, even)).to.deep.equal([])
+    expect(planPlacement(placed, [{ version: 'm@2', engines: 4 }])[0]).to.include({ step: 'empty' })
+  })
+})
--- /dev/null
+++ b/packages/decisions/test/upstreams.test.ts
@@ -0,0 +1,146 @@
+import { expect } from 'chai'
+import {
+  admit,
+  chooseUpstream,
+  createRetryBudget,
+  createSeededRandom,
+  createUpstreamView,
+  earnRetry,
+  noteEnded,
+  noteFailure,
+  noteReport,
+  noteSent,
+  noteSuccess,
+  predictLoad,
+  prefixBlocks,
+  PrefixMap,
+  spendRetry,
+  takesWork,
+  type UpstreamView,
+} from '@yewkeel/decisions'
+
+function viewOf(id: string): UpstreamView {
+  return createUpstreamView({ id, kind: 'engine', address: id, dataCentre: 'dc', slots: 4 })
+}
+
+function choose(pool: UpstreamView[], excluded = new Set<string>(), now = 0) {
+  const request = { dataCentre: 'dc', promptTokens: 0, cachedTokensOf: () => 0 }
+  const random = createSeededRandom(1)
+  return chooseUpstream('predicted', { pool, affine: [], request, excluded, now, random, turn: 0 })
+}
+
+describe('the load of an upstream', () => {
+  it('counts what was sent after a late report was made', () => {
+    const view = viewOf('a')
+    noteSent(view, 10)
+    noteSent(view, 30)
+    noteReport(view, { at: 20, running: 3, waiting: 0 })
+    // Two of the three at the report were others'; this box has two there now.
+    expect(predictLoad(view, 20)).to.equal(4)
+    noteEnded(view, 40)
+    expect(predictLoad(view, 20)).to.equal(3)
+  })
+})
+
+describe('the choice of an upstream', () => {
+  it('goes to the less loaded, and passes over the leaving and the excluded', () => {
+    const [busy, idle, leaving] = [viewOf('busy'), viewOf('idle'), viewOf('leaving')]
+    noteReport(busy, { at: 0, running: 4, waiting: 9 })
+    leaving.state = 'leaving'
+    expect(choose([busy, idle, leaving])?.id).to.equal('idle')
+    expect(choose([busy, idle, leaving], new Set(['idle']))?.id).to.equal('busy')
+    expect(choose([leaving])).to.equal(undefined)
+  })
+
+  it('ejects an upstream that fails again and again, and takes it back by one request at a time', () => {
+    const view = viewOf('a')
+    for (let failures = 0; failures < 3; failures++) noteFailure(view, 0)
+    expect(takesWork(view, 1_999)).to.equal(false)
+    expect(takesWork(view, 2_000)).to.equal(true)
+    noteSent(view, 2_000)
+    expect(takesWork(view, 2_001)).to.equal(false)
+    noteFailure(view, 2_002)
+    expect(takesWork(view, 5_000)).to.equal(false)
+    noteSuccess(view, 10)
+    expect(takesWork(view, 5_000)).to.equal(true)
+  })
+})
+
+describe('the prefix map', () => {
+  it('finds the longest run of blocks that an upstream holds', () => {
+    const map = new PrefixMap()
+    const blocks = prefixBlocks('a', 'x'.repeat(1_024 * 3))
+    map.note(blocks.slice(0, 2), 'engine-1')
+    map.note(blocks, 'engine-2')
+    expect(Object.fromEntries(map.match(blocks))).to.deep.equal({
+      'engine-1': 512,
+      'engine-2': 768,
+    })
+  })
+
+  it('keeps organisations apart and its size bounded', () => {
+    const map = new PrefixMap(10)
+    map.note(prefixBlocks('a', 'x'.repeat(1_024 * 20)), 'engine-1')
+    expect(map.size).to.equal(10)
+    expect(prefixBlocks('a', 'x'.repeat(1_024))).not.to.deep.equal(
+      prefixBlocks('b', 'x'.repeat(1_024)),
+    )
+  })
+})
+
+describe('admission', () => {
+  const pool = (
+    utilisation: number,
+    uses = new Map<string, { inFlight: number; share: number }>(),
+  ) => ({
+    firstToken: 100,
+    utilisation,
+    takesCalls: false,
+    uses,
+  })
+  const request = (priority: 'low' | 'normal' | 'high', isCall = false) => ({
+    organisation: 'a',
+    priority,
+    isCall,
+    deadline: 1_000,
+  })
+
+  it('sheds a summary before a question and a question before a hold', () => {
+    const refused = (utilisation: number) => [
+      admit(request('low'), pool(utilisation), 0) !== undefined,
+      admit(request('normal'), pool(utilisation), 0) !== undefined,
+      admit(request('normal', true), pool(utilisation), 0) !== undefined,
+    ]
+    expect(refused(1.05)).to.deep.equal([false, false, false])
+    expect(refused(1.12)).to.deep.equal([true, false, false])
+    expect(refused(1.4)).to.deep.equal([true, true, false])
+  })
+
+  it('holds back the organisation that uses more than its share of a crowded pool', () => {
+    const uses = new Map([
+      ['a', { inFlight: 30, share: 1 }],
+      ['b', { inFlight: 5, share: 1 }],
+    ])
+    expect(admit(request('normal'), pool(1.05, uses), 0)?.reason).to.equal('overloaded')
+    expect(admit({ ...request('normal'), organisation: 'b' }, pool(1.05, uses), 0)).to.equal(
+      undefined,
+    )
+  })
+
+  it('refuses what cannot be answered in time, and says when to come back', () => {
+    const refusal = admit(request('normal'), { ...pool(0.5), firstToken: 2_000 }, 0)
+    expect(refusal).to.include({ verdict: 'not-run', retryAfter: 1_000 })
+  })
+})
+
+describe('the retry budget', () => {
+  it('lets at most a tenth of requests be sent again when all fail', () => {
+    const budget = createRetryBudget()
+    let retries = 0
+    for (let request = 0; request < 1_000; request++) {
+      if (request < 500) earnRetry(budget)
+      if (spendRetry(budget)) retries++
+    }
+    expect(retries).to.be.at.most(60)
+  })
+})
--- a/packages/proof/src/measures/overhead.ts
+++ b/packages/proof/src/measures/overhead.ts
@@ -27,7 +27,10 @@
   const loaders = Array.from({ length: LOADERS }, () => new Worker())
   const standIns = await startStandIns({ engines: [], services: [] })
   const boxes = await startBoxes(standIns.addresses, upstream)
-  await applyRows(boxes[0]!.operatorsAddress, DEMO_ROWS.filter(row => row.row !== 'limit'))
+  await applyRows(
+    boxes[0]!.operatorsAddress,
+    DEMO_ROWS.filter(row => row.row !== 'limit'),
+  )
   await sleep(clock, SETTLE)
   const own = boxes[0]!.entryAddress
   const ratios = { throughput: [] as number[], tokens: [] as number[] }
@@ -42,8 +45,13 @@
     note(`round ${round + 1}: ${OPEN_STREAMS} open streams`)
     const bareStreams = await runStreams(loaders, bare)
     const before = residentBytes(boxes[0]!.pid)
-    const [ownStreams, during] = await Promise.all([runStreams(loaders, own), residentLater(boxes[0]!.pid)])
-    ratios.tokens.push(ownStreams.tokens / ownStreams.took / (bareStreams.tokens / bareStreams.took))
+    const [ownStreams, during] = await Promise.all([
+      runStreams(loaders, own),
+      residentLater(boxes[0]!.pid),
+    ])
+    ratios.tokens.push(
+      ownStreams.tokens / ownStreams.took / (bareStreams.tokens / bareStreams.took),
+    )
     added.long.push(ownStreams.firstByteMedian - bareStreams.firstByteMedian)
     heap.push(Math.max(0, during - before) / OPEN_STREAMS)
   }
@@ -52,7 +60,10 @@
   await standIns.close()
   const rows = new RowCollector()
   const add = (which: string, metric: string, unit: string, values: number[]) =>
-    rows.add({ workload: 'loopback', case: which, policy: 'yewkeel', metric, unit }, quantileOf(values, 0.5))
+    rows.add(
+      { workload: 'loopback', case: which, policy: 'yewkeel', metric, unit },
+      quantileOf(values, 0.5),
+    )
   add('short answers', 'throughputRatio', 'of bare forwarder', ratios.throughput)
   add('short answers', 'firstTokenAddedMilliseconds', 'ms', added.short)
   add(`${OPEN_STREAMS} open streams`, 'tokensPerSecondRatio', 'of bare forwarder', ratios.tokens)
@@ -73,7 +84,15 @@
         entry: { listen: own.entry },
         operators: { listen: own.operators },
         peers: { listen: own.peers, seeds, secret: 'shared-by-the-boxes-of-the-demo' },
-        upstreams: [{ name: 'engine-1', kind: 'engine', address: upstream, dataCentre: 'dc-1', slots: 100_000 }],
+        upstreams: [
+          {
+            name: 'engine-1',
+            kind: 'engine',
+            address: upstream,
+            dataCentre: 'dc-1',
+            slots: 100_000,
+          },
+        ],
         limits: { openRequests: 5_000 },
         logLevel: 'error',
       }),
@@ -89,7 +108,13 @@
 }
 
 function runShort(loaders: Worker[], address: string): Promise<LoadFigures> {
-  return runLoad(loaders, { address, requests: SHORT_REQUESTS, concurrency: SHORT_CONCURRENCY, tokens: 0, tokenInterval: 0 })
+  return runLoad(loaders, {
+    address,
+    requests: SHORT_REQUESTS,
+    concurrency: SHORT_CONCURRENCY,
+    tokens: 0,
+    tokenInterval: 0,
+  })
 }
 
 function runStreams(loaders: Worker[], address: string): Promise<LoadFigures> {
@@ -105,10 +130,22 @@
 /** Splits a load over the loaders. */
 async function runLoad(
   loaders: Worker[],
-  order: { address: string; requests: number; concurrency: number; tokens: number; tokenInterval: number },
+  order: {
+    address: string
+    requests: number
+    concurrency: number
+    tokens: number
+    tokenInterval: number
+  },
 ): Promise<LoadFigures> {
-  const load = { ...order, requests: order.requests / loaders.length, concurrency: order.concurrency / loaders.length }
-  const figures = await Promise.all(loaders.map(loader => loader.ask<LoadFigures>({ role: 'loader', load })))
+  const load = {
+    ...order,
+    requests: order.requests / loaders.length,
+    concurrency: order.concurrency / loaders.length,
+  }
+  const figures = await Promise.all(
+    loaders.map(loader => loader.ask<LoadFigures>({ role: 'loader', load })),
+  )
   const failed = figures.reduce((sum, each) => sum + each.failed, 0)
   if (failed > 0) throw new Error(`${failed} requests of the measurement failed`)
   return {
--- a/packages/proof/src/measures/plotRows.ts
+++ b/packages/proof/src/measures/plotRows.ts
@@ -5,7 +5,9 @@
 /** A small plot for each metric: the mean of each policy in each case, as SVG. */
 export async function plotRows(rows: readonly MeasureRow[]): Promise<string> {
   const specification: TopLevelSpec = {
-    data: { values: rows.map(row => ({ ...row, panel: `${row.workload}: ${row.metric} (${row.unit})` })) },
+    data: {
+      values: rows.map(row => ({ ...row, panel: `${row.workload}: ${row.metric} (${row.unit})` })),
+    },
     columns: 2,
     facet: { field: 'panel', type: 'nominal', title: null },
     resolve: { scale: { x: 'independent', y: 'independent' } },
--- a/packages/proof/src/measures/policyDecision.ts
+++ b/packages/proof/src/measures/policyDecision.ts
@@ -29,9 +29,24 @@
 }
 
 const SIZES: DecisionSize[] = [
-  { name: 'today: 17 upstreams, 4 versions, 10 organisations', upstreams: 17, versions: 4, organisations: 10 },
-  { name: '240 upstreams, 21 versions, 200 organisations', upstreams: 240, versions: 21, organisations: 200 },
-  { name: '2400 upstreams, 21 versions, 200 organisations', upstreams: 2_400, versions: 21, organisations: 200 },
+  {
+    name: 'today: 17 upstreams, 4 versions, 10 organisations',
+    upstreams: 17,
+    versions: 4,
+    organisations: 10,
+  },
+  {
+    name: '240 upstreams, 21 versions, 200 organisations',
+    upstreams: 240,
+    versions: 21,
+    organisations: 200,
+  },
+  {
+    name: '2400 upstreams, 21 versions, 200 organisations',
+    upstreams: 2_400,
+    versions: 21,
+    organisations: 200,
+  },
 ]
 const DECISIONS = 30_000
 const WARM_UP = 10_000
@@ -74,10 +89,19 @@
   const models = Math.max(2, Math.ceil(size.versions / 2))
   const names: string[] = []
   for (let index = 0; index < size.versions; index++) {
-    const row = { model: `model-${index % models}`, version: String(Math.floor(index / models) + 1) }
+    const row = {
+      model: `model-${index % models}`,
+      version: String(Math.floor(index / models) + 1),
+    }
     names.push(formatVersion(row))
     for (let organisation = 0; organisation < size.organisations; organisation++) {
-      rows.push({ row: 'version', organisation: `organisation-${organisation}`, ...row, weight: 50, state: 'active' })
+      rows.push({
+        row: 'version',
+        organisation: `organisation-${organisation}`,
+        ...row,
+        weight: 50,
+        state: 'active',
+      })
     }
   }
   rows.push({ row: 'cascade', organisation: '*', kind: 'question', stages: 'model-0>model-1' })
@@ -85,7 +109,13 @@
   const views = new Map<string, UpstreamView>()
   for (let index = 0; index < size.upstreams; index++) {
     const id = `engine-${index}`
-    const view = createUpstreamView({ id, kind: 'engine', address: id, dataCentre: 'dc-1', slots: 8 })
+    const view = createUpstreamView({
+      id,
+      kind: 'engine',
+      address: id,
+      dataCentre: 'dc-1',
+      slots: 8,
+    })
     noteReport(view, { at: 0, running: Math.floor(random() * 8), waiting: 0 })
     views.set(id, view)
     const version = names[index % names.length]!
@@ -104,14 +134,22 @@
   const { rights, pools, views, prefixes } = world
   const limit = rights.limitOf(organisation)
   const stages = rights.stagesOf(organisation, 'question')!
-  const costs = stages.map((model, index) => ({ model, cost: 100 * (index + 1), wholeAnswerMilliseconds: 500 }))
+  const costs = stages.map((model, index) => ({
+    model,
+    cost: 100 * (index + 1),
+    wholeAnswerMilliseconds: 500,
+  }))
   const { start } = quality.choose(limit, organisation, 'question', costs, true)
   const model = stages[start]!
   const bounds = { isHalted: () => false, roomOf: () => Infinity, isServed: () => true }
   const version = chooseVersion([rights], organisation, model, bounds, random)!
   const blocks = prefixBlocks(organisation, PROMPT)
   const cached = prefixes.match(blocks)
-  const outlook = { dataCentre: 'dc-1', promptTokens: 1_200, cachedTokensOf: (id: string) => cached.get(id) ?? 0 }
+  const outlook = {
+    dataCentre: 'dc-1',
+    promptTokens: 1_200,
+    cachedTokensOf: (id: string) => cached.get(id) ?? 0,
+  }
   const now = turn
   const view = chooseUpstream('predicted', {
     pool: pools.get(formatVersion({ model, version }))!,
@@ -125,7 +163,12 @@
   prefixes.note(blocks, view.id)
   admit(
     { organisation, priority: 'normal', isCall: false, deadline: now + 30_000 },
-    { firstToken: predictFirstToken(view, outlook, now), utilisation: 0.5, takesCalls: false, uses: new Map() },
+    {
+      firstToken: predictFirstToken(view, outlook, now),
+      utilisation: 0.5,
+      takesCalls: false,
+      uses: new Map(),
+    },
     now,
   )
 }
--- a/packages/proof/src/measures/policyLoad.ts
+++ b/packages/proof/src/measures/policyLoad.ts
@@ -23,9 +23,22 @@
 } from '@yewkeel/decisions'
 import { LoadEngine } from './loadWorld.js'
 import { quantileOf, type RowCollector } from './measureRow.js'
-import { drawCount, drawGap, drawKind, drawOrganisation, type Workload, type WorkloadKind } from './workload.js'
+import {
+  drawCount,
+  drawGap,
+  drawKind,
+  drawOrganisation,
+  type Workload,
+  type WorkloadKind,
+} from './workload.js'
 
-const POLICIES: UpstreamStrategyName[] = ['predicted', 'round-robin', 'random', 'least-reported', 'two-choices']
+const POLICIES: UpstreamStrategyName[] = [
+  'predicted',
+  'round-robin',
+  'random',
+  'least-reported',
+  'two-choices',
+]
 const LOADS = [0.5, 0.8, 0.95, 1.2]
 const LAGS: Milliseconds[] = [100, 1_000, 5_000]
 const REPORT_EVERY: Milliseconds = 500
@@ -69,7 +82,12 @@
 }
 
 /** Runs every policy, load and lag. Baselines have no admission; `predicted` has the product's. */
-export function measureLoad(workload: Workload, seed: number, quick: boolean, rows: RowCollector): void {
+export function measureLoad(
+  workload: Workload,
+  seed: number,
+  quick: boolean,
+  rows: RowCollector,
+): void {
   for (const load of quick ? [0.95, 1.2] : LOADS) {
     for (const lag of quick ? [1_000] : LAGS) {
       for (const policy of POLICIES) {
@@ -92,7 +110,8 @@
     case: `${load * 100} % of capacity, reports ${lag / 1_000} s late`,
     policy: policy === 'predicted' ? 'yewkeel' : policy,
   }
-  const add = (metric: string, unit: string, value: number) => rows.add({ ...labels, metric, unit }, value)
+  const add = (metric: string, unit: string, value: number) =>
+    rows.add({ ...labels, metric, unit }, value)
   add('firstTokenP50', 'ms', quantileOf(result.firstTokens, 0.5))
   add('firstTokenP95', 'ms', quantileOf(result.firstTokens, 0.95))
   add('firstTokenP99', 'ms', quantileOf(result.firstTokens, 0.99))
@@ -151,7 +170,11 @@
     prefillTokensPerMillisecond: PREFILL,
     cacheBlocks: CACHE_BLOCKS,
   }
-  const serviceOptions = { ...engineOptions, tokenMilliseconds: CALL_WORK, prefillTokensPerMillisecond: 1_000 }
+  const serviceOptions = {
+    ...engineOptions,
+    tokenMilliseconds: CALL_WORK,
+    prefillTokensPerMillisecond: 1_000,
+  }
   const viewsOf = (prefix: string, count: number) =>
     Array.from({ length: count }, (_, index) =>
       createUpstreamView({
@@ -167,7 +190,11 @@
     services: Array.from({ length: serviceRunners }, () => new LoadEngine(clock, serviceOptions)),
     boxes: Array.from({ length: boxes }, () => ({
       views: viewsOf('engine', engines),
-      services: viewsOf('service', serviceRunners).map(view => ({ ...view, requestMilliseconds: CALL_WORK, firstTokenMilliseconds: 1 })),
+      services: viewsOf('service', serviceRunners).map(view => ({
+        ...view,
+        requestMilliseconds: CALL_WORK,
+        firstTokenMilliseconds: 1,
+      })),
       prefixes: new PrefixMap(),
       uses: new PoolUses(),
       turn: 0,
@@ -183,7 +210,9 @@
   const mean = (valueOf: (kind: WorkloadKind) => number) =>
     kinds.reduce((sum, kind) => sum + (kind.share / shares) * valueOf(kind), 0)
   const fullBatch = 1.6
-  const busy = mean(kind => (kind.promptTokens / PREFILL + kind.completionTokens * TOKEN_MILLISECONDS) * fullBatch)
+  const busy = mean(
+    kind => (kind.promptTokens / PREFILL + kind.completionTokens * TOKEN_MILLISECONDS) * fullBatch,
+  )
   const completionsPerSecond = (engines * slots * 1_000) / busy
   return {
     completionsPerSecond,
@@ -244,7 +273,13 @@
   const blocks = Array.from({ length: kind.sharedPromptTokens / 256 }, (_, index) =>
     hashText(`${organisation}/${kind.name}/${index}`),
   )
-  const created = { kind, organisation, blocks, promptTokens: kind.sharedPromptTokens, turnsLeft: kind.turns }
+  const created = {
+    kind,
+    organisation,
+    blocks,
+    promptTokens: kind.sharedPromptTokens,
+    turnsLeft: kind.turns,
+  }
   if (kind.turns > 1) world.sessions.push(created)
   return created
 }
@@ -296,7 +331,13 @@
           isCall: false,
           deadline: clock.now() + FIRST_TOKEN_DEADLINE,
         },
-        poolOutlook(box, box.views, predictFirstToken(view, request, clock.now()), 'engines', clock.now()),
+        poolOutlook(
+          box,
+          box.views,
+          predictFirstToken(view, request, clock.now()),
+          'engines',
+          clock.now(),
+        ),
         clock.now(),
       ))
   if (refused) {
@@ -359,8 +400,19 @@
     !view ||
     (policy === 'predicted' &&
       admit(
-        { organisation: 'all', priority: 'normal', isCall: isHold, deadline: clock.now() + FIRST_TOKEN_DEADLINE },
-        poolOutlook(box, box.services, predictFirstToken(view, request, clock.now()), 'services', clock.now()),
+        {
+          organisation: 'all',
+          priority: 'normal',
+          isCall: isHold,
+          deadline: clock.now() + FIRST_TOKEN_DEADLINE,
+        },
+        poolOutlook(
+          box,
+          box.services,
+          predictFirstToken(view, request, clock.now()),
+          'services',
+          clock.now(),
+        ),
         clock.now(),
       ))
   if (refused) return
@@ -380,7 +432,13 @@
   })
 }
 
-function poolOutlook(box: LoadBox, views: readonly UpstreamView[], firstToken: Milliseconds, pool: string, now: Milliseconds) {
+function poolOutlook(
+  box: LoadBox,
+  views: readonly UpstreamView[],
+  firstToken: Milliseconds,
+  pool: string,
+  now: Milliseconds,
+) {
   let load = 0
   let slots = 0
   for (const view of views) {
--- a/packages/proof/src/node/demo.ts
+++ b/packages/proof/src/node/demo.ts
@@ -9,7 +9,13 @@
 import Table from 'cli-table3'
 import { request } from 'undici'
 import { DEMO_ROWS } from '../world/demoTable.js'
-import { applyRows, CALLER_KEY, OPERATOR_KEY, startSystem, type RunningSystem } from '../world/startSystem.js'
+import {
+  applyRows,
+  CALLER_KEY,
+  OPERATOR_KEY,
+  startSystem,
+  type RunningSystem,
+} from '../world/startSystem.js'
 
 /** What one request of the demo came to. */
 interface DemoResult {
@@ -198,7 +204,11 @@
   ]
 }
 
-async function applyTable({ boxes }: RunningSystem, rows: TableRow[], changeId: string): Promise<number> {
+async function applyTable(
+  { boxes }: RunningSystem,
+  rows: TableRow[],
+  changeId: string,
+): Promise<number> {
   const applied = await applyRows(boxes[0]!.operatorsAddress, rows, changeId)
   console.log(`table change "${changeId}": ${applied.outcome}, revision ${applied.revision}\n`)
   return applied.revision
--- a/packages/proof/src/node/measure.ts
+++ b/packages/proof/src/node/measure.ts
@@ -19,7 +19,9 @@
 const [name = '', ...flags] = process.argv.slice(2)
 const measure = MEASURES[name]
 if (!measure) {
-  console.error(`usage: npm run measure -- NAME [--json] [--seeds FROM-TO] [--quick] [--plot FILE.svg]`)
+  console.error(
+    `usage: npm run measure -- NAME [--json] [--seeds FROM-TO] [--quick] [--plot FILE.svg]`,
+  )
   console.error(`NAME is one of ${Object.keys(MEASURES).join(', ')}`)
   process.exit(2)
 }
@@ -36,7 +38,8 @@
 /** Seeds of `--seeds FROM-TO`; as many as the measurement's goals ask for when none are given. */
 function readSeeds(): number[] {
   const at = flags.indexOf('--seeds')
-  const [from = 1, to = DEFAULT_SEEDS[name] ?? 3] = at === -1 ? [] : (flags[at + 1] ?? '').split('-').map(Number)
+  const [from = 1, to = DEFAULT_SEEDS[name] ?? 3] =
+    at === -1 ? [] : (flags[at + 1] ?? '').split('-').map(Number)
   return Array.from({ length: Math.max(1, to - from + 1) }, (_, index) => from + index)
 }
 
--- a/packages/proof/src/node/worker.ts
+++ b/packages/proof/src/node/worker.ts
@@ -9,7 +9,9 @@
   | { role: 'loader'; load: LoadOrder }
   | { role: 'usage' }
 
-type RoleHandlers = { [Role in WorkerOrder['role']]: (order: Extract<WorkerOrder, { role: Role }>) => Promise<unknown> }
+type RoleHandlers = {
+  [Role in WorkerOrder['role']]: (order: Extract<WorkerOrder, { role: Role }>) => Promise<unknown>
+}
 
 const ROLES: RoleHandlers = {
   forwarder: order => startBareForwarder(order.upstream),
--- a/packages/proof/src/world/loader.ts
+++ b/packages/proof/src/world/loader.ts
@@ -41,7 +41,8 @@
       for await (const chunk of answer.body as AsyncIterable<Buffer>) {
         if (isFirst) firstBytes.push(clock.now() - askedAt)
         isFirst = false
-        for (let at = chunk.indexOf('\nid: '); at !== -1; at = chunk.indexOf('\nid: ', at + 1)) figures.tokens++
+        for (let at = chunk.indexOf('\nid: '); at !== -1; at = chunk.indexOf('\nid: ', at + 1))
+          figures.tokens++
         figures.tokens++
       }
       if (answer.statusCode !== 200) figures.failed++
--- a/packages/proof/src/world/memoryNetwork.ts
+++ b/packages/proof/src/world/memoryNetwork.ts
@@ -112,6 +112,8 @@
 ): UpstreamClient {
   return {
     async send(address, request, { signal, answerWithin } = {}) {
+      // A paused box sends nothing, and a dead one never again.
+      await box.gate()
       const handler = world.handlers.get(address)
       if (!handler) throw new UpstreamFailure('no', 'nothing listens there')
       const answering = reach(world, handler, request, signal)
--- a/packages/proof/src/world/processes.ts
+++ b/packages/proof/src/world/processes.ts
@@ -52,7 +52,9 @@
   const folder = mkdtempSync(join(tmpdir(), 'yewkeel-'))
   const file = join(folder, 'settings.yaml')
   writeFileSync(file, stringify(settingsFor({ entry, operators, peers })))
-  const child = spawn(process.execPath, [YEWKEEL, 'run', file], { stdio: ['ignore', 'ignore', 'inherit'] })
+  const child = spawn(process.execPath, [YEWKEEL, 'run', file], {
+    stdio: ['ignore', 'ignore', 'inherit'],
+  })
   const ended = new Promise<number | null>(resolve => child.once('exit', resolve))
   await waitUntilHealthy(entry)
   rmSync(folder, { recursive: true })
--- a/packages/proof/src/world/tokenServer.ts
+++ b/packages/proof/src/world/tokenServer.ts
@@ -15,7 +15,15 @@
 export async function startTokenServer(): Promise<string> {
   const server = createServer(async (message, response) => {
     if (message.url === '/load') {
-      response.end(JSON.stringify({ running: 0, waiting: 0, slots: 100_000, leaving: false, versions: [MODEL] }))
+      response.end(
+        JSON.stringify({
+          running: 0,
+          waiting: 0,
+          slots: 100_000,
+          leaving: false,
+          versions: [MODEL],
+        }),
+      )
       return
     }
     const chunks: Buffer[] = []
@@ -47,11 +55,25 @@
   const interval = Number(body.metadata?.interval ?? 20)
   for (let index = 1; index <= body.max_tokens; index++) {
     const delta = { content: `token-${index} ` }
-    const chunk = { id: 'chatcmpl-1', object: 'chat.completion.chunk', model: MODEL, choices: [{ index: 0, delta }] }
+    const chunk = {
+      id: 'chatcmpl-1',
+      object: 'chat.completion.chunk',
+      model: MODEL,
+      choices: [{ index: 0, delta }],
+    }
     response.write(`id: ${index}\ndata: ${JSON.stringify(chunk)}\n\n`)
     await sleep(clock, interval)
   }
-  const usage = { prompt_tokens: 12, completion_tokens: body.max_tokens, total_tokens: body.max_tokens + 12 }
-  const last = { id: 'chatcmpl-1', model: MODEL, choices: [{ index: 0, delta: {}, finish_reason: 'stop' }], usage }
+  const usage = {
+    prompt_tokens: 12,
+    completion_tokens: body.max_tokens,
+    total_tokens: body.max_tokens + 12,
+  }
+  const last = {
+    id: 'chatcmpl-1',
+    model: MODEL,
+    choices: [{ index: 0, delta: {}, finish_reason: 'stop' }],
+    usage,
+  }
   response.end(`id: ${body.max_tokens + 1}\ndata: ${JSON.stringify(last)}\n\ndata: [DONE]\n\n`)
 }
--- a/packages/proof/src/world/virtualSystem.ts
+++ b/packages/proof/src/world/virtualSystem.ts
@@ -234,7 +234,7 @@
         if (isDone) return
         isDone = true
         target.pending.delete(breakOff)
-        if (broken) hangUp.abort()
+        if (broken && !target.dead) hangUp.abort()
         resolve({ ...answer, broken, took: this.clock.now() - startedAt })
       }
       const breakOff = () => finish(true)
