--- a/packages/box/src/createBox.ts
+++ b/packages/box/src/createBox.ts
@@ -80,6 +80,8 @@
   const self = formatVoter(identity.box, identity.incarnation)
   const router = `${identity.box}.${identity.incarnation}.`
   const drain = createDrainState(settings.addressLifetimeMilliseconds)
+  /** Epoch of the voter set that each peer knows. */
+  const votersOfPeers = new Map<VoterId, number>()
   let openRequests = 0
   let requests = 0
 
@@ -210,7 +212,9 @@
       storeOut: table.isStoreOut(),
       ...(confirmedAge !== undefined && { confirmedAge }),
       open: [...state.open.values()].map(({ id, content }) => ({ id, content })),
-      ...(state.voters && { voters: state.voters }),
+      votersEpoch: state.voters?.epoch ?? 0,
+      ...(state.voters &&
+        state.voters.epoch !== votersOfPeers.get(peer) && { voters: state.voters }),
       load: services.load(),
       inFlight: upstreams.ownInFlight(),
       demand: allowances.ownDemand(),
@@ -222,6 +226,7 @@
 
   function onHeartbeat(from: VoterId, heartbeat: Heartbeat, askedAt: Milliseconds): void {
     const { revision, storeOut, confirmedAge, open, voters } = heartbeat
+    votersOfPeers.set(from, heartbeat.votersEpoch)
     table.post({
       type: 'peer-word',
       from,
--- a/packages/box/src/tasks/membershipTask.ts
+++ b/packages/box/src/tasks/membershipTask.ts
@@ -1,7 +1,6 @@
 import {
   formatVoter,
   relaysOf,
-  resolvePeers,
   type Clock,
   type DirectoryEntry,
   type Milliseconds,
@@ -244,12 +243,8 @@
     }
   }
 
+  /** Each box is linked to each; docs/CAPACITY.md says up to how many. */
   #relink(): void {
-    const { self, transport } = this.options
-    const named = [...this.#peers.values()].map(peer => peer.identity)
-    const wanted = new Set(resolvePeers(self, [self, ...named]).map(peer => peer.box))
-    transport.link(
-      [...this.#addresses.values()].filter(({ box }) => box === undefined || wanted.has(box)),
-    )
+    this.options.transport.link([...this.#addresses.values()])
   }
 }
--- a/packages/box/src/tasks/qualityTask.ts
+++ b/packages/box/src/tasks/qualityTask.ts
@@ -9,6 +9,7 @@
   noteRating,
   planCascade,
   ratedCount,
+  resolveBuckets,
   solveQualityPrice,
   type CascadePlan,
   type Clock,
@@ -146,7 +147,7 @@
   #outlookOf({ name, stages, mayWait }: KnownKind, limit: LimitRow) {
     const outlooks: StageOutlook[] = stages.map(stage => ({
       ...stage,
-      counts: countsOf(this.#estimates, name, stage.model),
+      buckets: resolveBuckets(countsOf(this.#estimates, name, stage.model)),
     }))
     return {
       stages: outlooks,
--- a/packages/box/src/types/peerMessage.ts
+++ b/packages/box/src/types/peerMessage.ts
@@ -34,6 +34,9 @@
   confirmedAge?: Milliseconds
   storeOut: boolean
   open: Proposal[]
+  /** Epoch of the voter set that the sender knows; 0 for none. */
+  votersEpoch: number
+  /** The set itself, for a receiver that knows another. */
   voters?: VoterSet
   /** Share of the box's open-request bound in use. */
   load: number
--- a/packages/decisions/src/choice/cascadePlan.ts
+++ b/packages/decisions/src/choice/cascadePlan.ts
@@ -3,18 +3,12 @@
  * expected cost plus what a bad answer is held to cost, worked backwards from the last stage. The price of a
  * bad answer is what moves: it rises while the served quality is under the organisation's target.
  */
-import {
-  bucketShares,
-  CONFIDENCE_BUCKETS,
-  goodShare,
-  goodShareInBucket,
-  type QualityCounts,
-} from './qualityEstimates.js'
+import { goodShare, type BucketOutlook } from './qualityEstimates.js'
 
 /** What is known of one stage for a kind of request. */
 export interface StageOutlook {
   model: string
-  counts: QualityCounts
+  buckets: readonly BucketOutlook[]
   /** Expected cost of one answer, millionths of a currency unit. */
   cost: number
   /** Expected time of a whole answer: what the caller waits when the stage is judged and thrown away. */
@@ -60,7 +54,7 @@
 }
 
 function decideUnjudged(stage: StageOutlook, prices: PlanPrices): StageDecision {
-  const quality = goodShare(stage.counts)
+  const quality = goodShare(stage.buckets)
   return {
     value: stage.cost + prices.badAnswer * (1 - quality),
     expectedQuality: quality,
@@ -70,20 +64,17 @@
 
 /** The first answer is held back until it is whole; buckets that promise too little go on to the next stage. */
 function decideJudged(stage: StageOutlook, next: StageDecision, prices: PlanPrices): StageDecision {
-  const shares = bucketShares(stage.counts)
   const accepts: boolean[] = []
   const delay = prices.millisecondOfDelay * stage.wholeAnswerMilliseconds
   let value = stage.cost + delay
   let expectedQuality = 0
   let expectedCost = stage.cost
-  for (let bucket = 0; bucket < CONFIDENCE_BUCKETS; bucket++) {
-    const quality = goodShareInBucket(stage.counts, bucket)
-    const acceptValue = prices.badAnswer * (1 - quality)
+  for (const { share, good } of stage.buckets) {
+    const acceptValue = prices.badAnswer * (1 - good)
     const accept = acceptValue <= next.value
-    const share = shares[bucket]!
     accepts.push(accept)
     value += share * Math.min(acceptValue, next.value)
-    expectedQuality += share * (accept ? quality : next.expectedQuality)
+    expectedQuality += share * (accept ? good : next.expectedQuality)
     expectedCost += accept ? 0 : share * next.expectedCost
   }
   return { accepts, value, expectedQuality, expectedCost }
--- a/packages/decisions/src/choice/qualityEstimates.ts
+++ b/packages/decisions/src/choice/qualityEstimates.ts
@@ -83,26 +83,31 @@
   if (isGood) counts.good[bucket] = (counts.good[bucket] ?? 0) + 1
 }
 
-/** Chance that an answer of the kind by the model is good, whatever its bucket. */
-export function goodShare(counts: QualityCounts): number {
-  // Ratings come for what was served, so each bucket counts as often as it is seen, not as it is rated.
-  const chances = bucketShares(counts)
-  return chances.reduce((sum, share, bucket) => sum + share * goodShareInBucket(counts, bucket), 0)
+/** What is believed of one confidence bucket. */
+export interface BucketOutlook {
+  /** How often the bucket comes; all shares sum to 1. */
+  share: number
+  /** Chance that an answer in it is good, drawn towards what is known of the whole. */
+  good: number
 }
 
-/** Chance that an answer in the bucket is good, drawn towards what is known of the whole. */
-export function goodShareInBucket(counts: QualityCounts, bucket: number): number {
+/** What is believed of each bucket of a kind and model. */
+export function resolveBuckets(counts: QualityCounts): BucketOutlook[] {
   const allGood = sum(counts.good) + counts.unjudged.good
   const whole = (allGood + PRIOR_GOOD * PRIOR_STRENGTH) / (ratedCount(counts) + PRIOR_STRENGTH)
-  const good = counts.good[bucket] ?? 0
-  const rated = counts.rated[bucket] ?? 0
-  return (good + whole * PRIOR_WEIGHT) / (rated + PRIOR_WEIGHT)
+  const allSeen = sum(counts.seen) + CONFIDENCE_BUCKETS
+  return counts.seen.map((seen, bucket) => ({
+    share: (seen + 1) / allSeen,
+    good: (counts.good[bucket]! + whole * PRIOR_WEIGHT) / (counts.rated[bucket]! + PRIOR_WEIGHT),
+  }))
 }
 
-/** How often each bucket comes. Sums to 1. */
-export function bucketShares(counts: QualityCounts): number[] {
-  const total = sum(counts.seen) + CONFIDENCE_BUCKETS
-  return counts.seen.map(seen => (seen + 1) / total)
+/**
+ * Chance that an answer is good, whatever its bucket. Ratings come for what was served, so each bucket counts
+ * as often as it is seen, not as it is rated.
+ */
+export function goodShare(buckets: readonly BucketOutlook[]): number {
+  return buckets.reduce((total, { share, good }) => total + share * good, 0)
 }
 
 /** Number of ratings, faded. */
--- a/packages/decisions/src/upstreams/prefixMap.ts
+++ b/packages/decisions/src/upstreams/prefixMap.ts
@@ -1,4 +1,4 @@
-import { hashText } from '../utils/rendezvousHash.js'
+import { hash } from 'node:crypto'
 
 /** Characters of a prompt that one block of the map stands for; about 256 tokens. */
 const BLOCK_CHARACTERS = 1_024
@@ -68,12 +68,17 @@
 /** The chained hashes of a prompt's blocks: equal hashes mean equal prompts up to there. */
 export function prefixBlocks(scope: string, prompt: string): number[] {
   const blocks: number[] = []
-  let chained = hashText(scope)
+  let chained = hashBlock(scope, 0)
   const count = Math.min(LARGEST_BLOCKS, Math.floor(prompt.length / BLOCK_CHARACTERS))
   for (let index = 0; index < count; index++) {
     const start = index * BLOCK_CHARACTERS
-    chained = hashText(prompt.slice(start, start + BLOCK_CHARACTERS), chained)
+    chained = hashBlock(prompt.slice(start, start + BLOCK_CHARACTERS), chained)
     blocks.push(chained)
   }
   return blocks
 }
+
+/** 48 bits: a collision costs a prefill and nothing else. */
+function hashBlock(text: string, before: number): number {
+  return Number.parseInt(hash('md5', `${before}/${text}`).slice(0, 12), 16)
+}
--- a/packages/proof/src/measures/overhead.ts
+++ b/packages/proof/src/measures/overhead.ts
@@ -72,7 +72,8 @@
   return rows.rows()
 }
 
-async function startBoxes(
+/** Three boxes in processes of their own before one upstream. */
+export async function startBoxes(
   addresses: { table: string; boxList: string; ratings: string },
   upstream: string,
 ): Promise<BoxProcess[]> {
--- a/packages/proof/src/models/tableModel.ts
+++ b/packages/proof/src/models/tableModel.ts
@@ -6,6 +6,7 @@
   tableTransition,
   type ChangeOutcome,
   type FreshnessLimits,
+  type PeerWord,
   type Proposal,
   type Table,
   type TableEffect,
@@ -69,7 +70,7 @@
   freshFor: BOUND,
   peerWordFor: BOUND,
   storeOutAfter: 0,
-  settleAfter: 1,
+  settleAfter: -1,
   announceFor: 99,
 }
 
@@ -244,8 +245,33 @@
       applyCommit(state, action.type, mutation)
   }
   noteRevisions(state)
+  if (mutation !== 'take words of any age') forgetWhatNoLongerCounts(state)
 }
 
+const LONG_AGO = -9
+
+/**
+ * Makes states equal that differ only in what no rule looks at any more: how old evidence is that is too old,
+ * and when a proposal was heard of.
+ */
+function forgetWhatNoLongerCounts(state: TableModelState): void {
+  const oldest = state.now - BOUND
+  for (const box of Object.values(state.boxes)) {
+    if (box.confirmedAt !== undefined && box.confirmedAt < oldest) box.confirmedAt = LONG_AGO
+    if (box.storeReadAt !== undefined && box.storeReadAt < oldest) box.storeReadAt = LONG_AGO
+    for (const open of box.open.values()) open.heardAt = 0
+    for (const [from, word] of box.peers) {
+      const confirmedAt = word.confirmedAt !== undefined &&
+        word.confirmedAt >= oldest && { confirmedAt: word.confirmedAt }
+      const kept: PeerWord = word.asOf < oldest ? { ...NO_WORD } : { ...word }
+      delete kept.confirmedAt
+      box.peers.set(from, { ...kept, ...confirmedAt })
+    }
+  }
+}
+
+const NO_WORD: PeerWord = { asOf: LONG_AGO, revision: 0, storeOut: false }
+
 /** A restarted box has forgotten all; it takes the table from the first that gives it. */
 function restart(state: TableModelState, limits: FreshnessLimits, mutation?: TableMutation): void {
   state.faults--
