--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,10 @@
   {
     rules: {
       '@typescript-eslint/consistent-type-imports': 'error',
-      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_', ignoreRestSiblings: true }],
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        { argsIgnorePattern: '^_', ignoreRestSiblings: true },
+      ],
       eqeqeq: 'error',
       'no-console': 'error',
       'prefer-const': 'error',
