Split the table task; one builder for transitions; streams are pumped without a promise for each piece

Cause: tableTask.ts had grown to 416 lines with reading, writing and settling in one; three controllers carried the same look-up of handlers; each streamed piece cost several promises. Change: ProposalWriter, tableRows, reconcileBill, createTransition, EventSplitter and pump.

--- a/packages/box/src/createBox.ts
+++ b/packages/box/src/createBox.ts
@@ -1,23 +1,18 @@
 import {
-  billKey,
-  costOf,
   createDrainState,
   createRetryBudget,
   drainTransition,
   formatVersion,
   formatVoter,
-  parseVersion,
   resolveWitnesses,
   sleep,
   takesNewRequests,
-  type Bill,
   type Clock,
   type Milliseconds,
   type Random,
   type VoterId,
 } from '@yewkeel/decisions'
 import { CallerKeys } from './requests/callerKeys.js'
-import { readUsage } from './requests/eventStream.js'
 import { createRequestHandler } from './requests/handleRequest.js'
 import { AllowanceTask } from './tasks/allowanceTask.js'
 import { BillTask } from './tasks/billTask.js'
@@ -26,9 +21,10 @@
 import { MembershipTask, type HeartbeatContent } from './tasks/membershipTask.js'
 import { PlacementTask } from './tasks/placementTask.js'
 import { QualityTask } from './tasks/qualityTask.js'
+import { reconcileBill } from './tasks/reconcileBill.js'
 import { StreamFinder } from './tasks/streamFinder.js'
 import { TableTask } from './tasks/tableTask.js'
-import { PoolUses, readText, UpstreamTask } from './tasks/upstreamTask.js'
+import { PoolUses, UpstreamTask } from './tasks/upstreamTask.js'
 import type { BoxServices } from './types/context.js'
 import type { Heartbeat, PeerIdentity, PeerMessage } from './types/peerMessage.js'
 import type {
@@ -107,7 +103,13 @@
     send,
     witnesses: () => liveWitnesses(),
     boxCount,
-    reconcile: bill => reconcile(bill),
+    reconcile: bill =>
+      reconcileBill(bill, {
+        store: platform.table,
+        client,
+        upstreams,
+        rights: () => table.rights()[0]!,
+      }),
   })
   const allowances = new AllowanceTask({ table: platform.table, clock, boxCount })
   const quality = new QualityTask({ clock, random })
@@ -286,38 +288,6 @@
     bills.post({ type: 'owner-gone', owner: voter, witnesses: liveWitnesses() })
   }
 
-  /** Asks the engine how a request ended whose box is gone. */
-  async function reconcile(bill: Bill): Promise<Bill | 'void' | undefined> {
-    const standing = await platform.table.read([billKey(bill.requestId)])
-    if (standing.outcome === 'read' && standing.rows.length > 0) return 'void'
-    const view = bill.stream && upstreams.views.get(bill.stream.upstream)
-    if (!bill.stream || !view) return closeWith(bill, undefined)
-    try {
-      const path = `/v1/streams/${encodeURIComponent(bill.stream.id)}?status=only`
-      const answer = await client.send(view.address, { method: 'GET', path, headers: {} })
-      const text = await readText(answer.body)
-      if (answer.status === 404) return closeWith(bill, undefined)
-      if (!(JSON.parse(text) as { done: boolean }).done) return undefined
-      return closeWith(bill, text)
-    } catch {
-      return undefined
-    }
-  }
-
-  /** What earlier stages cost stays; the last stream costs what the engine counted. */
-  function closeWith(bill: Bill, text: string | undefined): Bill | 'void' {
-    const usage = text === undefined ? undefined : readUsage(text)
-    const served = bill.stream?.id.split('/').at(-2) ?? ''
-    const version = parseVersion(served)
-    if (!usage || !version) {
-      // A service call may have run; an engine that knows no such stream has run nothing that can be billed.
-      return bill.lines.length > 0 || !version ? { ...bill, outcome: 'cut-off' } : 'void'
-    }
-    const cost = costOf(table.rights()[0]!.priceOf(version), usage)
-    const line = { ...version, upstream: bill.stream!.upstream, usage, cost }
-    return { ...bill, outcome: 'cut-off', lines: [...bill.lines, line] }
-  }
-
   function competingVersions(): string[][] {
     const rights = table.rights()[0]!
     const models = new Map<string, Set<string>>()
--- a/packages/box/src/node/upstreamClient.ts
+++ b/packages/box/src/node/upstreamClient.ts
@@ -1,8 +1,10 @@
+import type { Readable } from 'node:stream'
 import { Pool, type Dispatcher } from 'undici'
 import {
   UpstreamFailure,
   type SendLimits,
   type Sent,
+  type TakeOutcome,
   type UpstreamAnswer,
   type UpstreamClient,
   type UpstreamRequest,
@@ -39,6 +41,7 @@
         status: answer.statusCode,
         headers: answer.headers as Record<string, string>,
         body: answer.body,
+        pump: take => pumpStream(answer.body, take),
       }
     } catch (error) {
       throw new UpstreamFailure(sentOf(error), String(error), isLate(error))
@@ -64,6 +67,26 @@
   }
 }
 
+/** Hands each chunk on as it comes, and stops reading while the taker is busy. */
+function pumpStream(body: Readable, take: (chunk: Uint8Array) => TakeOutcome): Promise<void> {
+  return new Promise((resolve, reject) => {
+    body.on('data', (chunk: Uint8Array) => {
+      const outcome = take(chunk)
+      if (outcome === undefined) return
+      if (outcome === 'stop') {
+        body.destroy()
+        resolve()
+        return
+      }
+      body.pause()
+      void outcome.then(() => body.resume(), reject)
+    })
+    body.once('end', resolve)
+    body.once('error', reject)
+    body.once('close', resolve)
+  })
+}
+
 function isLate(error: unknown): boolean {
   return (error as { code?: string }).code === 'UND_ERR_HEADERS_TIMEOUT'
 }
--- a/packages/box/src/requests/eventStream.ts
+++ b/packages/box/src/requests/eventStream.ts
@@ -1,24 +1,59 @@
 /** Reading of a streamed answer with as little parsing as its promises need. */
 import type { Usage } from '@yewkeel/decisions'
+import type { TakeOutcome, UpstreamAnswer } from '../types/ports.js'
 
 const EVENT_END = Buffer.from('\n\n')
 const DONE = Buffer.from('data: [DONE]')
 const USAGE = Buffer.from('"usage":{')
 const LAST_ID = Buffer.from('\nid: ')
 
-/** Cuts a byte stream into pieces of whole events. A piece may hold many. Bytes after the last end are dropped. */
+/** Cuts a byte stream into pieces of whole events. A piece may hold many. */
+export class EventSplitter {
+  #rest: Buffer | undefined
+
+  /** The whole events that a chunk completes, if it completes any. */
+  push(chunk: Uint8Array): Buffer | undefined {
+    const bytes = this.#rest ? Buffer.concat([this.#rest, chunk]) : toBuffer(chunk)
+    const cut = bytes.lastIndexOf(EVENT_END) + EVENT_END.length
+    if (cut < EVENT_END.length) {
+      this.#rest = bytes
+      return undefined
+    }
+    this.#rest = cut < bytes.length ? bytes.subarray(cut) : undefined
+    return bytes.subarray(0, cut)
+  }
+}
+
+/** The pieces of a body. Bytes after the last whole event are dropped. */
 export async function* wholeEvents(body: AsyncIterable<Uint8Array>): AsyncIterable<Buffer> {
-  let rest: Buffer = Buffer.alloc(0)
+  const splitter = new EventSplitter()
   for await (const chunk of body) {
-    const bytes = rest.length > 0 ? Buffer.concat([rest, chunk]) : toBuffer(chunk)
-    const end = bytes.lastIndexOf(EVENT_END)
-    if (end === -1) {
-      rest = bytes
-      continue
-    }
-    const cut = end + EVENT_END.length
-    rest = bytes.subarray(cut)
-    yield bytes.subarray(0, cut)
+    const piece = splitter.push(chunk)
+    if (piece) yield piece
+  }
+}
+
+/** Hands on the pieces of an answer's body, the fastest way that its client offers. */
+export async function forEachPiece(
+  answer: Pick<UpstreamAnswer, 'body' | 'pump'>,
+  take: (piece: Buffer) => TakeOutcome,
+): Promise<void> {
+  if (!answer.pump) return takeEach(answer.body, take)
+  const splitter = new EventSplitter()
+  return answer.pump(chunk => {
+    const piece = splitter.push(chunk)
+    return piece && take(piece)
+  })
+}
+
+async function takeEach(
+  body: AsyncIterable<Uint8Array>,
+  take: (piece: Buffer) => TakeOutcome,
+): Promise<void> {
+  for await (const piece of wholeEvents(body)) {
+    const outcome = take(piece)
+    if (outcome === 'stop') return
+    if (outcome) await outcome
   }
 }
 
--- a/packages/box/src/requests/relayCompletion.ts
+++ b/packages/box/src/requests/relayCompletion.ts
@@ -6,10 +6,11 @@
   type Usage,
 } from '@yewkeel/decisions'
 import type { RequestContext } from '../types/context.js'
+import type { TakeOutcome, UpstreamAnswer } from '../types/ports.js'
 import { readText } from '../tasks/upstreamTask.js'
 import { sendOptionsFor, type CompletionTask } from './answerCompletion.js'
 import { endStreamWithRefusal } from './answerRefusal.js'
-import { lastEventId, modelOf, readUsage, splitEnd, usageIn, wholeEvents } from './eventStream.js'
+import { forEachPiece, lastEventId, modelOf, readUsage, splitEnd, usageIn } from './eventStream.js'
 import { sendToUpstream, type OpenAnswer } from './sendToUpstream.js'
 
 const RESUME_TRIES = 2
@@ -70,6 +71,7 @@
   lastId: number
   usage?: Usage
   ended: boolean
+  wrongVersion: boolean
 }
 
 async function relayStream(
@@ -82,17 +84,17 @@
     open.release('well')
     return relayClientError(context, open, await readText(open.answer.body))
   }
-  const progress: StreamProgress = { started: false, lastId: 0, ended: false }
-  let body: AsyncIterable<Uint8Array> | undefined = open.answer.body
-  for (let tries = 0; body; tries++) {
-    const outcome = await pass(task, version, open, body, progress)
-    if (outcome === 'wrong-version') {
+  const progress: StreamProgress = { started: false, lastId: 0, ended: false, wrongVersion: false }
+  let answer: UpstreamAnswer | undefined = open.answer
+  for (let tries = 0; answer; tries++) {
+    await pass(task, version, open, answer, progress)
+    if (progress.wrongVersion) {
       open.release('well')
-      return outcome
+      return 'wrong-version'
     }
     if (progress.ended) return undefined
     if (context.request.signal.aborted) return cancel(task, version, open)
-    body = tries < RESUME_TRIES ? await resume(context, open, progress.lastId) : undefined
+    answer = tries < RESUME_TRIES ? await resume(context, open, progress.lastId) : undefined
   }
   open.release('badly')
   if (!progress.started) return refuseCut(open, 'the stream ended before it began')
@@ -105,41 +107,52 @@
   task: CompletionTask,
   version: ModelVersion,
   open: OpenAnswer,
-  body: AsyncIterable<Uint8Array>,
+  answer: UpstreamAnswer,
   progress: StreamProgress,
-): Promise<'wrong-version' | undefined> {
-  const { context, completion, bill } = task
-  const { responder, request } = context
-  const keepUsage = completion.body.stream_options?.include_usage === true
-  try {
-    for await (const piece of wholeEvents(body)) {
-      if (!progress.started) {
-        if (modelOf(piece) !== formatVersion(version)) return 'wrong-version'
-        await bill.whenOpenIsSafe()
-        responder.start(200, answerHeaders(task, open, version, 'text/event-stream'))
-        progress.started = true
-        noteServed(task, version, open)
-        context.services.metrics.timing(
-          'first_token',
-          context.services.clock.now() - context.receivedAt,
-        )
-      }
-      const end = splitEnd(piece, keepUsage)
-      if (end) {
-        const usage = end.usage ?? progress.usage
-        if (usage) progress.usage = usage
-        await finish(task, version, open, progress, end.before, end.end)
-        return undefined
-      }
-      progress.lastId = lastEventId(piece) ?? progress.lastId
-      progress.usage = usageIn(piece) ?? progress.usage
-      await responder.write(piece)
-      if (request.signal.aborted) return undefined
+): Promise<void> {
+  const { responder, request } = task.context
+  const keepUsage = task.completion.body.stream_options?.include_usage === true
+  const passPiece = (piece: Buffer): TakeOutcome => {
+    const end = splitEnd(piece, keepUsage)
+    if (end) {
+      const usage = end.usage ?? progress.usage
+      if (usage) progress.usage = usage
+      return finish(task, version, open, progress, end.before, end.end)
     }
+    progress.lastId = lastEventId(piece) ?? progress.lastId
+    progress.usage = usageIn(piece) ?? progress.usage
+    if (request.signal.aborted) return 'stop'
+    return responder.write(piece)
+  }
+  const takePiece = (piece: Buffer): TakeOutcome => {
+    if (progress.started) return passPiece(piece)
+    if (modelOf(piece) !== formatVersion(version)) {
+      progress.wrongVersion = true
+      return 'stop'
+    }
+    return begin(task, version, open, progress).then(() => passPiece(piece))
+  }
+  try {
+    await forEachPiece(answer, takePiece)
   } catch {
     // The stream broke; what came whole has been passed on and the rest can be asked for again.
   }
-  return undefined
+}
+
+/** The first byte goes out when the open bill survives the loss of this box. */
+async function begin(
+  task: CompletionTask,
+  version: ModelVersion,
+  open: OpenAnswer,
+  progress: StreamProgress,
+): Promise<void> {
+  const { context, bill } = task
+  const { services } = context
+  await bill.whenOpenIsSafe()
+  context.responder.start(200, answerHeaders(task, open, version, 'text/event-stream'))
+  progress.started = true
+  noteServed(task, version, open)
+  services.metrics.timing('first_token', services.clock.now() - context.receivedAt)
 }
 
 /** The end goes out when the closed bill survives the loss of this box. */
@@ -166,7 +179,7 @@
   { services }: RequestContext,
   open: OpenAnswer,
   after: number,
-): Promise<AsyncIterable<Uint8Array> | undefined> {
+): Promise<UpstreamAnswer | undefined> {
   services.metrics.count('upstream.resumes')
   try {
     const path = `/v1/streams/${encodeURIComponent(open.streamId)}?after=${after}`
@@ -175,7 +188,7 @@
       path,
       headers: {},
     })
-    return answer.status === 200 ? answer.body : undefined
+    return answer.status === 200 ? answer : undefined
   } catch {
     return undefined
   }
--- /dev/null
+++ b/packages/box/src/tasks/proposalWriter.ts
@@ -0,0 +1,129 @@
+import {
+  createTable,
+  planAcceptance,
+  sleep,
+  TABLE_KEYS,
+  VOTERS_KEY,
+  type AcceptedChange,
+  type ChangeOutcome,
+  type Clock,
+  type Milliseconds,
+  type Proposal,
+  type TableChange,
+  type TableService,
+  type TableSnapshot,
+  type VoterSet,
+} from '@yewkeel/decisions'
+import { byKey, outcomeOfRow, parseRow } from './tableRows.js'
+
+/** Tries of a change that others go before, and of reading after a lost answer. */
+const RESOLVE_TRIES = 20
+const RESOLVE_PAUSE: Milliseconds = 250
+
+/** Writes proposals to the store once a majority has heard of them. */
+export class ProposalWriter {
+  constructor(
+    private readonly table: TableService,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Writes a proposal, and finds out what became of it when the answer is lost. */
+  write({ id, content }: Proposal): Promise<ChangeOutcome> {
+    return content.kind === 'change'
+      ? this.#writeChange(content.change)
+      : this.#writeVoters(id, content.set)
+  }
+
+  async #writeChange(change: TableChange): Promise<ChangeOutcome> {
+    const { table, clock } = this
+    for (let tries = 0; tries < RESOLVE_TRIES; tries++) {
+      const basis = await this.#readBasis(change)
+      if (!basis)
+        return { outcome: 'refused', message: 'the store does not answer; nothing was written' }
+      if ('outcome' in basis) return basis
+      const plan = planAcceptance(change, basis, clock.wallTime())
+      if (plan.plan === 'stop') return plan.result
+      const outcome = await table.commit(plan.transaction)
+      if (outcome === 'committed') return { outcome: 'accepted', revision: plan.accepted.revision }
+      if (outcome === 'unavailable') {
+        return { outcome: 'refused', message: 'the store does not answer; nothing was written' }
+      }
+      if (outcome === 'unknown') return this.#resolveUnknown(change.changeId)
+    }
+    return {
+      outcome: 'refused',
+      message: 'other changes went before this one each time; try again',
+    }
+  }
+
+  async #readBasis(change: TableChange) {
+    const { table } = this
+    const [rows, later] = await Promise.all([
+      table.read([TABLE_KEYS.head, TABLE_KEYS.snapshot, TABLE_KEYS.changeId(change.changeId)]),
+      table.list(TABLE_KEYS.changePrefix, { after: TABLE_KEYS.change(change.baseRevision) }),
+    ])
+    if (rows.outcome !== 'read' || later.outcome !== 'read') return undefined
+    const found = byKey(rows.rows)
+    const earlier = found.get(TABLE_KEYS.changeId(change.changeId))
+    if (earlier) return outcomeOfRow(earlier)
+    const snapshot = parseRow<TableSnapshot>(found.get(TABLE_KEYS.snapshot))
+    return {
+      table: createTable(snapshot?.revision ?? 0, snapshot?.rows ?? []),
+      headVersion: found.get(TABLE_KEYS.head)?.version ?? 0,
+      laterChanges: later.rows.map(row => JSON.parse(row.value) as AcceptedChange),
+    }
+  }
+
+  async #writeVoters(id: string, set: VoterSet): Promise<ChangeOutcome> {
+    const { table } = this
+    const answer = await table.read([VOTERS_KEY])
+    if (answer.outcome !== 'read')
+      return { outcome: 'refused', message: 'the store does not answer' }
+    const row = answer.rows[0]
+    if ((parseRow<VoterSet>(row)?.epoch ?? 0) !== set.epoch - 1) {
+      return { outcome: 'refused', message: 'another set of voters went before' }
+    }
+    const outcome = await table.commit({
+      conditions: [
+        { key: VOTERS_KEY, version: row?.version ?? 0 },
+        { key: TABLE_KEYS.changeId(id), version: 0 },
+      ],
+      writes: [
+        { key: VOTERS_KEY, value: JSON.stringify(set) },
+        { key: TABLE_KEYS.changeId(id), value: JSON.stringify({ revision: set.epoch }) },
+      ],
+    })
+    if (outcome === 'committed') return { outcome: 'accepted', revision: set.epoch }
+    if (outcome === 'unknown') return this.#resolveUnknown(id)
+    return { outcome: 'refused', message: 'the store did not take the set of voters' }
+  }
+
+  /** The answer to a write was lost. A tombstone in its place makes sure that it cannot take effect later. */
+  async #resolveUnknown(id: string): Promise<ChangeOutcome> {
+    for (let tries = 0; tries < RESOLVE_TRIES; tries++) {
+      const outcome = await this.fence(id)
+      if (outcome) return outcome
+      await sleep(this.clock, RESOLVE_PAUSE)
+    }
+    return {
+      outcome: 'pending',
+      message:
+        'the store took the write or lost it, and does not answer; ask again with the id of the change',
+    }
+  }
+
+  /** Reads what became of a proposal, or makes sure that it can never be accepted. Undefined while the store is out. */
+  async fence(id: string): Promise<ChangeOutcome | undefined> {
+    const key = TABLE_KEYS.changeId(id)
+    const written = await this.table.commit({
+      conditions: [{ key, version: 0 }],
+      writes: [{ key, value: JSON.stringify({ refused: true }) }],
+    })
+    if (written === 'committed') {
+      return { outcome: 'refused', message: 'the store lost the write; nothing was written' }
+    }
+    const answer = await this.table.read([key])
+    const row = answer.outcome === 'read' ? answer.rows[0] : undefined
+    return row && outcomeOfRow(row)
+  }
+}
--- a/packages/box/src/tasks/tableTask.ts
+++ b/packages/box/src/tasks/tableTask.ts
@@ -1,20 +1,15 @@
 import {
-  applyChange,
-  boxOfVoter,
   createTable,
   createTableState,
   DEFAULT_FRESHNESS_LIMITS,
   isStoreOut,
   nextVoterSet,
-  planAcceptance,
   resolveFreshness,
   resolveRights,
   resolveTablesInDoubt,
-  sleep,
   TABLE_KEYS,
   tableTransition,
   VOTERS_KEY,
-  type AcceptedChange,
   type ChangeOutcome,
   type Clock,
   type Freshness,
@@ -22,7 +17,6 @@
   type Milliseconds,
   type Proposal,
   type Rights,
-  type StoreRow,
   type Table,
   type TableChange,
   type TableEffect,
@@ -30,7 +24,6 @@
   type TableMessage,
   type TableRow,
   type TableService,
-  type TableSnapshot,
   type TableState,
   type VoterId,
   type VoterSet,
@@ -39,6 +32,8 @@
 import type { Log } from '../types/ports.js'
 import { createTask, type Task } from './createTask.js'
 import { every } from './every.js'
+import { ProposalWriter } from './proposalWriter.js'
+import { byKey, outcomeOfRow, parseRow, readNewerTable } from './tableRows.js'
 
 export interface TableTaskOptions {
   self: VoterId
@@ -55,10 +50,6 @@
 const POLL_EVERY: Milliseconds = 500
 /** A box that does not poll still reads the store when others' word is older than this. */
 const PEER_CONFIRMATION_FOR: Milliseconds = 1_200
-/** Beyond this many missing revisions the snapshot is read instead of the changes. */
-const LARGEST_CATCH_UP = 64
-const RESOLVE_TRIES = 20
-const RESOLVE_PAUSE: Milliseconds = 250
 const REGISTER_EVERY: Milliseconds = 1_000
 
 /** Owns a box's copy of the table: reads the store, hears peers, and writes changes for operators. */
@@ -68,6 +59,7 @@
   readonly #answers = new Map<string, (outcome: ChangeOutcome) => void>()
   readonly #changeListeners: ((table: Table) => void)[] = []
   #rights: { table: Table; open: number; rights: Rights[] } | undefined
+  readonly #writer: ProposalWriter
   #isReading = false
   #registering = false
   #timers: { cancel(): void }[] = []
@@ -75,6 +67,7 @@
   constructor(private readonly options: TableTaskOptions) {
     const { self, clock, limits = DEFAULT_FRESHNESS_LIMITS, log } = options
     this.#state = createTableState(self, clock.now(), limits)
+    this.#writer = new ProposalWriter(options.table, clock)
     this.#task = createTask({
       name: 'table',
       state: this.#state,
@@ -176,7 +169,9 @@
       const rows = byKey(answer.rows)
       const head = parseRow<TableHead>(rows.get(TABLE_KEYS.head))?.revision ?? 0
       const voters = parseRow<VoterSet>(rows.get(VOTERS_KEY))
-      const table = await this.#readTable(head)
+      const table = await readNewerTable(this.options.table, this.#state.table, head, changes =>
+        this.#task.post({ type: 'changes-heard', changes }),
+      )
       if (table) {
         this.#task.post({ type: 'store-read', startedAt, table, ...(voters && { voters }) })
       }
@@ -191,35 +186,6 @@
     if (isPoller() || confirmedAge > PEER_CONFIRMATION_FOR) await this.readStore()
   }
 
-  async #readTable(head: number): Promise<Table | undefined> {
-    const copy = this.#state.table
-    if (head === copy.revision) return copy
-    if (head < copy.revision) return { revision: head, rows: new Map() }
-    if (head - copy.revision <= LARGEST_CATCH_UP) return this.#readChanges(copy, head)
-    const answer = await this.options.table.read([TABLE_KEYS.snapshot])
-    if (answer.outcome !== 'read') return undefined
-    const snapshot = parseRow<TableSnapshot>(answer.rows[0])
-    return snapshot && createTable(snapshot.revision, snapshot.rows)
-  }
-
-  async #readChanges(copy: Table, head: number): Promise<Table | undefined> {
-    const answer = await this.options.table.list(TABLE_KEYS.changePrefix, {
-      after: TABLE_KEYS.change(copy.revision),
-      limit: LARGEST_CATCH_UP,
-    })
-    if (answer.outcome !== 'read') return undefined
-    const changes = answer.rows.map(row => JSON.parse(row.value) as AcceptedChange)
-    this.#task.post({ type: 'changes-heard', changes })
-    const table = changes.reduce(
-      (table, change) =>
-        change.revision === table.revision + 1
-          ? applyChange(table, change, change.revision)
-          : table,
-      copy,
-    )
-    return table.revision >= head ? table : undefined
-  }
-
   #propose(proposal: Proposal): Promise<ChangeOutcome> {
     return new Promise(resolve => {
       this.#answers.set(proposal.id, resolve)
@@ -274,118 +240,22 @@
   }
 
   async #commit(proposal: Proposal): Promise<void> {
-    const outcome = await this.#write(proposal)
+    const outcome = await this.#writeUnlessBack(proposal)
     this.#task.post({ type: 'commit-answered', id: proposal.id, outcome })
     if (outcome.outcome === 'accepted') void this.readStore()
   }
 
-  #write({ id, content }: Proposal): Promise<ChangeOutcome> {
-    if (this.#state.storeWentBack) {
-      return Promise.resolve({
-        outcome: 'refused',
-        message: 'the store was set back to an older table; restore it before changing the table',
-      })
-    }
-    return content.kind === 'change'
-      ? this.#writeChange(content.change)
-      : this.#writeVoters(id, content.set)
-  }
-
-  async #writeChange(change: TableChange): Promise<ChangeOutcome> {
-    const { table, clock } = this.options
-    for (let tries = 0; tries < RESOLVE_TRIES; tries++) {
-      const basis = await this.#readBasis(change)
-      if (!basis)
-        return { outcome: 'refused', message: 'the store does not answer; nothing was written' }
-      if ('outcome' in basis) return basis
-      const plan = planAcceptance(change, basis, clock.wallTime())
-      if (plan.plan === 'stop') return plan.result
-      const outcome = await table.commit(plan.transaction)
-      if (outcome === 'committed') return { outcome: 'accepted', revision: plan.accepted.revision }
-      if (outcome === 'unavailable') {
-        return { outcome: 'refused', message: 'the store does not answer; nothing was written' }
-      }
-      if (outcome === 'unknown') return this.#resolveUnknown(change.changeId)
-    }
-    return {
+  #writeUnlessBack(proposal: Proposal): Promise<ChangeOutcome> {
+    if (!this.#state.storeWentBack) return this.#writer.write(proposal)
+    return Promise.resolve({
       outcome: 'refused',
-      message: 'other changes went before this one each time; try again',
-    }
-  }
-
-  async #readBasis(change: TableChange) {
-    const { table } = this.options
-    const [rows, later] = await Promise.all([
-      table.read([TABLE_KEYS.head, TABLE_KEYS.snapshot, TABLE_KEYS.changeId(change.changeId)]),
-      table.list(TABLE_KEYS.changePrefix, { after: TABLE_KEYS.change(change.baseRevision) }),
-    ])
-    if (rows.outcome !== 'read' || later.outcome !== 'read') return undefined
-    const found = byKey(rows.rows)
-    const earlier = found.get(TABLE_KEYS.changeId(change.changeId))
-    if (earlier) return outcomeOfRow(earlier)
-    const snapshot = parseRow<TableSnapshot>(found.get(TABLE_KEYS.snapshot))
-    return {
-      table: createTable(snapshot?.revision ?? 0, snapshot?.rows ?? []),
-      headVersion: found.get(TABLE_KEYS.head)?.version ?? 0,
-      laterChanges: later.rows.map(row => JSON.parse(row.value) as AcceptedChange),
-    }
-  }
-
-  async #writeVoters(id: string, set: VoterSet): Promise<ChangeOutcome> {
-    const { table } = this.options
-    const answer = await table.read([VOTERS_KEY])
-    if (answer.outcome !== 'read')
-      return { outcome: 'refused', message: 'the store does not answer' }
-    const row = answer.rows[0]
-    if ((parseRow<VoterSet>(row)?.epoch ?? 0) !== set.epoch - 1) {
-      return { outcome: 'refused', message: 'another set of voters went before' }
-    }
-    const outcome = await table.commit({
-      conditions: [
-        { key: VOTERS_KEY, version: row?.version ?? 0 },
-        { key: TABLE_KEYS.changeId(id), version: 0 },
-      ],
-      writes: [
-        { key: VOTERS_KEY, value: JSON.stringify(set) },
-        { key: TABLE_KEYS.changeId(id), value: JSON.stringify({ revision: set.epoch }) },
-      ],
+      message: 'the store was set back to an older table; restore it before changing the table',
     })
-    if (outcome === 'committed') return { outcome: 'accepted', revision: set.epoch }
-    if (outcome === 'unknown') return this.#resolveUnknown(id)
-    return { outcome: 'refused', message: 'the store did not take the set of voters' }
-  }
-
-  /** The answer to a write was lost. A tombstone in its place makes sure that it cannot take effect later. */
-  async #resolveUnknown(id: string): Promise<ChangeOutcome> {
-    for (let tries = 0; tries < RESOLVE_TRIES; tries++) {
-      const outcome = await this.#fence(id)
-      if (outcome) return outcome
-      await sleep(this.options.clock, RESOLVE_PAUSE)
-    }
-    return {
-      outcome: 'pending',
-      message:
-        'the store took the write or lost it, and does not answer; ask again with the id of the change',
-    }
-  }
-
-  async #fence(id: string): Promise<ChangeOutcome | undefined> {
-    const key = TABLE_KEYS.changeId(id)
-    const written = await this.options.table.commit({
-      conditions: [{ key, version: 0 }],
-      writes: [{ key, value: JSON.stringify({ refused: true }) }],
-    })
-    if (written === 'committed') {
-      return { outcome: 'refused', message: 'the store lost the write; nothing was written' }
-    }
-    const answer = await this.options.table.read([key])
-    const row = answer.outcome === 'read' ? answer.rows[0] : undefined
-    return row && outcomeOfRow(row)
   }
 
   /** Settles a proposal whose proposer has gone quiet. */
   async #settle(proposal: Proposal): Promise<void> {
-    const outcome = await this.#fence(proposal.id)
+    const outcome = await this.#writer.fence(proposal.id)
     if (!outcome || outcome.outcome === 'pending') return
     const settled =
       outcome.outcome === 'accepted'
@@ -395,22 +265,3 @@
     this.options.sendToAll({ type: 'settled', ...settled })
   }
 }
-
-/** Names of the boxes in a set of voters. */
-export function boxesOf(set: VoterSet | undefined): string[] {
-  return (set?.voters ?? []).map(boxOfVoter)
-}
-
-function outcomeOfRow(row: StoreRow): ChangeOutcome {
-  const value = JSON.parse(row.value) as { revision?: number; refused?: boolean }
-  if (value.revision !== undefined) return { outcome: 'accepted', revision: value.revision }
-  return { outcome: 'refused', message: 'the change was given up after its write was lost' }
-}
-
-function byKey(rows: readonly StoreRow[]): Map<string, StoreRow> {
-  return new Map(rows.map(row => [row.key, row]))
-}
-
-function parseRow<T>(row: StoreRow | undefined): T | undefined {
-  return row && (JSON.parse(row.value) as T)
-}
--- a/packages/box/src/types/ports.ts
+++ b/packages/box/src/types/ports.ts
@@ -27,8 +27,16 @@
   status: number
   headers: Record<string, string>
   body: AsyncIterable<Uint8Array>
+  /**
+   * Reads the body piece by piece without a promise for each, where the client can. Reading waits while `take`
+   * gives a promise, and ends early when it gives `stop`. Rejects when the body breaks.
+   */
+  pump?(take: (chunk: Uint8Array) => TakeOutcome): Promise<void>
 }
 
+/** Go on, go on when the promise resolves, or read no more. */
+export type TakeOutcome = void | Promise<unknown> | 'stop'
+
 export interface SendLimits {
   /** Aborted when the answer is no longer wanted. */
   signal?: AbortSignal
--- a/packages/decisions/src/bills/billLedger.ts
+++ b/packages/decisions/src/bills/billLedger.ts
@@ -6,7 +6,7 @@
  * centres. The caller gets the first byte only when the witnesses hold the open bill, and the last byte only
  * when they hold the closed one. A witness that finds the owner gone takes its bills over as its own.
  */
-import type { Milliseconds } from '../types/clock.js'
+import { createTransition, type HandlerTable, type MessageOf } from '../types/transition.js'
 import type { VoterId } from '../membership/voters.js'
 import type { Bill } from './bill.js'
 
@@ -76,14 +76,9 @@
   /** An open bill of a box that is gone: ask the upstream how the stream ended, then `close`. */
   | { type: 'reconcile'; bill: Bill }
 
-type MessageType = LedgerMessage['type']
-type MessageOf<Type extends MessageType> = Extract<LedgerMessage, { type: Type }>
-type Handler<Type extends MessageType> = (
-  state: LedgerState,
-  message: MessageOf<Type>,
-) => LedgerEffect[]
+type Of<Type extends LedgerMessage['type']> = MessageOf<LedgerMessage, Type>
 
-const HANDLERS: { [Type in MessageType]: Handler<Type> } = {
+const HANDLERS: HandlerTable<LedgerState, LedgerMessage, LedgerEffect> = {
   open: openBill,
   close: closeBill,
   void: voidBill,
@@ -106,14 +101,7 @@
 }
 
 /** Decides where each bill stands and what is to be sent or written. */
-export function ledgerTransition(
-  state: LedgerState,
-  message: LedgerMessage,
-  _now: Milliseconds,
-): LedgerEffect[] {
-  const handler = HANDLERS[message.type] as Handler<MessageType>
-  return handler(state, message)
-}
+export const ledgerTransition = createTransition(HANDLERS)
 
 /** Whether the ledger can take the bill of one more request. */
 export function hasRoomForBill(state: LedgerState): boolean {
@@ -129,7 +117,7 @@
   return own.witnesses.length > 0 && own.heldBy.size >= own.witnesses.length
 }
 
-function openBill(state: LedgerState, { bill, witnesses }: MessageOf<'open'>): LedgerEffect[] {
+function openBill(state: LedgerState, { bill, witnesses }: Of<'open'>): LedgerEffect[] {
   state.own.set(bill.requestId, {
     bill,
     witnesses,
@@ -139,7 +127,7 @@
   return witnesses.map(to => ({ type: 'send-hold', to, bills: [bill] }))
 }
 
-function closeBill(state: LedgerState, { bill }: MessageOf<'close'>): LedgerEffect[] {
+function closeBill(state: LedgerState, { bill }: Of<'close'>): LedgerEffect[] {
   const own = state.own.get(bill.requestId)
   if (!own || own.bill.stage === 'closed') return []
   own.bill = { ...bill, stage: 'closed' }
@@ -148,17 +136,14 @@
   return own.witnesses.map(to => ({ type: 'send-hold', to, bills: [own.bill] }))
 }
 
-function voidBill(state: LedgerState, { requestId }: MessageOf<'void'>): LedgerEffect[] {
+function voidBill(state: LedgerState, { requestId }: Of<'void'>): LedgerEffect[] {
   const own = state.own.get(requestId)
   if (!own || own.bill.stage === 'closed') return []
   state.own.delete(requestId)
   return releaseFrom(own, [requestId])
 }
 
-function countHeld(
-  state: LedgerState,
-  { requestId, stage, by }: MessageOf<'held'>,
-): LedgerEffect[] {
+function countHeld(state: LedgerState, { requestId, stage, by }: Of<'held'>): LedgerEffect[] {
   const own = state.own.get(requestId)
   if (!own || own.bill.stage !== stage || !own.witnesses.includes(by)) return []
   own.heldBy.add(by)
@@ -171,10 +156,7 @@
 }
 
 /** A witness is gone: another takes its place, or the bill is guarded by the rest. */
-function replaceWitness(
-  state: LedgerState,
-  { gone, by }: MessageOf<'replace-witness'>,
-): LedgerEffect[] {
+function replaceWitness(state: LedgerState, { gone, by }: Of<'replace-witness'>): LedgerEffect[] {
   const bills: Bill[] = []
   const effects: LedgerEffect[] = []
   for (const own of state.own.values()) {
@@ -190,17 +172,14 @@
   return effects
 }
 
-function resendBills(state: LedgerState, { peer }: MessageOf<'peer-connected'>): LedgerEffect[] {
+function resendBills(state: LedgerState, { peer }: Of<'peer-connected'>): LedgerEffect[] {
   const bills = [...state.own.values()]
     .filter(own => own.witnesses.includes(peer))
     .map(own => own.bill)
   return [{ type: 'send-hold', to: peer, bills, complete: true }]
 }
 
-function holdForPeer(
-  state: LedgerState,
-  { owner, bills, complete }: MessageOf<'hold'>,
-): LedgerEffect[] {
+function holdForPeer(state: LedgerState, { owner, bills, complete }: Of<'hold'>): LedgerEffect[] {
   const held = heldFor(state, owner)
   if (complete) dropOthers(state, held, bills)
   const taken: Record<Bill['stage'], string[]> = { open: [], closed: [] }
@@ -217,10 +196,7 @@
     .map(stage => ({ type: 'confirm-held', to: owner, stage, requestIds: taken[stage] }))
 }
 
-function releaseForPeer(
-  state: LedgerState,
-  { owner, requestIds }: MessageOf<'release'>,
-): LedgerEffect[] {
+function releaseForPeer(state: LedgerState, { owner, requestIds }: Of<'release'>): LedgerEffect[] {
   const held = state.held.get(owner)
   if (!held) return []
   for (const requestId of requestIds) {
@@ -231,10 +207,7 @@
 }
 
 /** The bills of a box that is gone become this box's own, guarded by new witnesses. */
-function adoptBills(
-  state: LedgerState,
-  { owner, witnesses }: MessageOf<'owner-gone'>,
-): LedgerEffect[] {
+function adoptBills(state: LedgerState, { owner, witnesses }: Of<'owner-gone'>): LedgerEffect[] {
   const held = state.held.get(owner)
   if (!held) return []
   state.held.delete(owner)
@@ -267,10 +240,7 @@
 }
 
 /** Every bill of `requestIds` stands in the store, by this box's hand or by another's. */
-function finishBatch(
-  state: LedgerState,
-  { id, requestIds }: MessageOf<'batch-written'>,
-): LedgerEffect[] {
+function finishBatch(state: LedgerState, { id, requestIds }: Of<'batch-written'>): LedgerEffect[] {
   if (state.batch?.id !== id) return []
   const written = new Set(requestIds)
   state.queue.unshift(...state.batch.requestIds.filter(requestId => !written.has(requestId)))
@@ -290,7 +260,7 @@
   ]
 }
 
-function returnBatch(state: LedgerState, { id }: MessageOf<'batch-failed'>): LedgerEffect[] {
+function returnBatch(state: LedgerState, { id }: Of<'batch-failed'>): LedgerEffect[] {
   if (state.batch?.id !== id) return []
   state.queue.unshift(...state.batch.requestIds)
   delete state.batch
--- a/packages/decisions/src/freshness/tableController.ts
+++ b/packages/decisions/src/freshness/tableController.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '../types/clock.js'
+import { createTransition, type HandlerTable, type MessageOf } from '../types/transition.js'
 import { hasMajority, type VoterSet } from '../membership/voters.js'
 import { applyChange, type Table, type TableChange } from '../table/table.js'
 import { isStoreOut, relevantVoterSets } from './resolveFreshness.js'
@@ -12,15 +13,9 @@
   TableState,
 } from './tableState.js'
 
-type MessageType = TableMessage['type']
-type MessageOf<Type extends MessageType> = Extract<TableMessage, { type: Type }>
-type Handler<Type extends MessageType> = (
-  state: TableState,
-  message: MessageOf<Type>,
-  now: Milliseconds,
-) => TableEffect[]
+type Of<Type extends TableMessage['type']> = MessageOf<TableMessage, Type>
 
-const HANDLERS: { [Type in MessageType]: Handler<Type> } = {
+const HANDLERS: HandlerTable<TableState, TableMessage, TableEffect> = {
   propose: startProposal,
   announcement: hearAnnouncement,
   'announcement-heard': countAnnouncement,
@@ -35,14 +30,7 @@
 }
 
 /** Decides which table a box holds, how sure it is of it, and how a change becomes accepted. */
-export function tableTransition(
-  state: TableState,
-  message: TableMessage,
-  now: Milliseconds,
-): TableEffect[] {
-  const handler = HANDLERS[message.type] as Handler<MessageType>
-  return handler(state, message, now)
-}
+export const tableTransition = createTransition(HANDLERS)
 
 /** The tables that a request must satisfy: the copy, and the copy as each open change would leave it. */
 export function resolveTablesInDoubt(state: TableState): Table[] {
@@ -56,7 +44,7 @@
 
 function startProposal(
   state: TableState,
-  { proposal }: MessageOf<'propose'>,
+  { proposal }: Of<'propose'>,
   now: Milliseconds,
 ): TableEffect[] {
   if (state.own.has(proposal.id)) return []
@@ -73,17 +61,14 @@
 
 function hearAnnouncement(
   state: TableState,
-  { from, proposal }: MessageOf<'announcement'>,
+  { from, proposal }: Of<'announcement'>,
   now: Milliseconds,
 ): TableEffect[] {
   openProposal(state, proposal, now)
   return [{ type: 'confirm-announcement', to: from, id: proposal.id }]
 }
 
-function countAnnouncement(
-  state: TableState,
-  { id, by }: MessageOf<'announcement-heard'>,
-): TableEffect[] {
+function countAnnouncement(state: TableState, { id, by }: Of<'announcement-heard'>): TableEffect[] {
   const own = state.own.get(id)
   if (!own || own.step !== 'announcing') return []
   own.announcedTo.add(by)
@@ -105,10 +90,7 @@
   return proposal.content.kind === 'voters' && proposal.content.set === set
 }
 
-function finishProposal(
-  state: TableState,
-  { id, outcome }: MessageOf<'commit-answered'>,
-): TableEffect[] {
+function finishProposal(state: TableState, { id, outcome }: Of<'commit-answered'>): TableEffect[] {
   if (!state.own.delete(id)) return []
   const answer: TableEffect = { type: 'answer', id, outcome }
   // While nobody knows whether the write took effect, the proposal stays open everywhere.
@@ -126,7 +108,7 @@
 
 function settleProposal(
   state: TableState,
-  { id, accepted, revision }: MessageOf<'settled'>,
+  { id, accepted, revision }: Of<'settled'>,
 ): TableEffect[] {
   const open = state.open.get(id)
   if (!open) return []
@@ -161,7 +143,7 @@
 
 function takeStoreRead(
   state: TableState,
-  { startedAt, table, voters }: MessageOf<'store-read'>,
+  { startedAt, table, voters }: Of<'store-read'>,
 ): TableEffect[] {
   state.storeReadAt = Math.max(state.storeReadAt ?? startedAt, startedAt)
   if (table.revision < Math.max(state.floor, state.table.revision)) {
@@ -186,7 +168,7 @@
   return [{ type: 'store-went-back', floor: Math.max(state.floor, state.table.revision), shown }]
 }
 
-function takeChanges(state: TableState, { changes }: MessageOf<'changes-heard'>): TableEffect[] {
+function takeChanges(state: TableState, { changes }: Of<'changes-heard'>): TableEffect[] {
   const inOrder = changes.toSorted((left, right) => left.revision - right.revision)
   let table = state.table
   for (const change of inOrder) {
@@ -206,7 +188,7 @@
   }
 }
 
-function takeTable(state: TableState, { table, voters }: MessageOf<'table-heard'>): TableEffect[] {
+function takeTable(state: TableState, { table, voters }: Of<'table-heard'>): TableEffect[] {
   takeVoters(state, voters)
   if (table.revision <= state.table.revision) return []
   return replaceTable(state, table)
@@ -214,7 +196,7 @@
 
 function takePeerWord(
   state: TableState,
-  { from, word, open, voters }: MessageOf<'peer-word'>,
+  { from, word, open, voters }: Of<'peer-word'>,
   now: Milliseconds,
 ): TableEffect[] {
   const known = state.peers.get(from)
@@ -235,7 +217,7 @@
   confirm(state, word.confirmedAt)
 }
 
-function forgetVoter(state: TableState, { voter }: MessageOf<'voter-gone'>): TableEffect[] {
+function forgetVoter(state: TableState, { voter }: Of<'voter-gone'>): TableEffect[] {
   state.gone.add(voter)
   state.peers.delete(voter)
   return [...state.own.values()]
@@ -243,11 +225,7 @@
     .flatMap(own => commitWhenAnnounced(state, own))
 }
 
-function watchProposals(
-  state: TableState,
-  _message: MessageOf<'tick'>,
-  now: Milliseconds,
-): TableEffect[] {
+function watchProposals(state: TableState, _message: Of<'tick'>, now: Milliseconds): TableEffect[] {
   const effects: TableEffect[] = []
   for (const [id, own] of state.own) {
     if (own.step !== 'announcing' || now - own.startedAt <= state.limits.announceFor) continue
--- a/packages/decisions/src/leases/lease.ts
+++ b/packages/decisions/src/leases/lease.ts
@@ -6,6 +6,7 @@
  * old fence.
  */
 import type { Milliseconds } from '../types/clock.js'
+import { createTransition, type HandlerTable, type MessageOf } from '../types/transition.js'
 
 export interface LeaseRow {
   holder: string
@@ -52,15 +53,9 @@
   | { type: 'read-row' }
   | { type: 'write-row'; row: LeaseRow; version: number; askedAt: Milliseconds }
 
-type MessageType = LeaseMessage['type']
-type MessageOf<Type extends MessageType> = Extract<LeaseMessage, { type: Type }>
-type Handler<Type extends MessageType> = (
-  state: LeaseState,
-  message: MessageOf<Type>,
-  now: Milliseconds,
-) => LeaseEffect[]
+type Of<Type extends LeaseMessage['type']> = MessageOf<LeaseMessage, Type>
 
-const HANDLERS: { [Type in MessageType]: Handler<Type> } = {
+const HANDLERS: HandlerTable<LeaseState, LeaseMessage, LeaseEffect> = {
   tick: renewOrWatch,
   'row-read': seeRow,
   'read-failed': askAgainLater,
@@ -74,14 +69,8 @@
   return { self, limits, asking: false }
 }
 
-export function leaseTransition(
-  state: LeaseState,
-  message: LeaseMessage,
-  now: Milliseconds,
-): LeaseEffect[] {
-  const handler = HANDLERS[message.type] as Handler<MessageType>
-  return handler(state, message, now)
-}
+/** Decides when to ask for the lease, and whether this box holds it. */
+export const leaseTransition = createTransition(HANDLERS)
 
 /** The fence under which this box may act now, if it holds the lease. */
 export function heldFence(state: LeaseState, now: Milliseconds): number | undefined {
@@ -89,11 +78,7 @@
   return now - state.held.askedAt <= state.limits.holdFor ? state.held.fence : undefined
 }
 
-function renewOrWatch(
-  state: LeaseState,
-  _message: MessageOf<'tick'>,
-  now: Milliseconds,
-): LeaseEffect[] {
+function renewOrWatch(state: LeaseState, _message: Of<'tick'>, now: Milliseconds): LeaseEffect[] {
   if (state.held && heldFence(state, now) === undefined) delete state.held
   if (state.asking) return []
   state.asking = true
@@ -107,7 +92,7 @@
 
 function seeRow(
   state: LeaseState,
-  { row, version }: MessageOf<'row-read'>,
+  { row, version }: Of<'row-read'>,
   now: Milliseconds,
 ): LeaseEffect[] {
   state.asking = false
@@ -139,7 +124,7 @@
 
 function takeAnswer(
   state: LeaseState,
-  { askedAt, row, outcome }: MessageOf<'write-answered'>,
+  { askedAt, row, outcome }: Of<'write-answered'>,
 ): LeaseEffect[] {
   state.asking = false
   // A lost answer counts as a failure: the row shows whose it is at the next read, and after it lapses.
--- a/packages/decisions/src/types/transition.ts
+++ b/packages/decisions/src/types/transition.ts
@@ -9,3 +9,28 @@
   message: Message,
   now: Milliseconds,
 ) => Effect[]
+
+/** The message of one type. */
+export type MessageOf<Message extends { type: string }, Type extends Message['type']> = Extract<
+  Message,
+  { type: Type }
+>
+
+/** A handler for each type of message. */
+export type HandlerTable<State, Message extends { type: string }, Effect> = {
+  [Type in Message['type']]: (
+    state: State,
+    message: MessageOf<Message, Type>,
+    now: Milliseconds,
+  ) => Effect[]
+}
+
+/** The transition that looks up the handler of each message. */
+export function createTransition<State, Message extends { type: string }, Effect>(
+  handlers: HandlerTable<State, Message, Effect>,
+): Transition<State, Message, Effect> {
+  return (state, message, now) => {
+    const handler = handlers[message.type as Message['type']] as Transition<State, Message, Effect>
+    return handler(state, message, now)
+  }
+}
