--- a/packages/proof/src/models/billModel.ts
+++ b/packages/proof/src/models/billModel.ts
@@ -72,19 +72,24 @@
     apply: (state, action) => applyBill(state, action, mutation),
     invariants: {
       'no request is billed twice': state => Object.values(state.rows).every(count => count <= 1),
-      'a whole answer has a bill that is not lost': state =>
-        REQUESTS.every(id => !state.requests[id]!.whole || isKept(state, id)),
+      'a whole answer has a closed bill that is not lost': state =>
+        REQUESTS.every(id => !state.requests[id]!.whole || isKept(state, id, 'closed')),
       'an answer that has begun has a bill that is not lost': state =>
         REQUESTS.every(id => !state.requests[id]!.begun || isKept(state, id)),
     },
   }
 }
 
-function isKept(state: BillState, id: string): boolean {
+/** Whether the store has the bill or a box that lives holds it, at the stage that is asked for. */
+function isKept(state: BillState, id: string, stage?: Bill['stage']): boolean {
   if ((state.rows[id] ?? 0) > 0) return true
+  const counts = (bill: Bill | undefined) => bill !== undefined && (!stage || bill.stage === stage)
   return BOXES.filter(box => !state.dead.includes(box)).some(box => {
     const ledger = state.ledgers[box]!
-    return ledger.own.has(id) || [...ledger.held.values()].some(held => held.has(id))
+    return (
+      counts(ledger.own.get(id)?.bill) ||
+      [...ledger.held.values()].some(held => counts(held.get(id)))
+    )
   })
 }
 
--- a/packages/proof/src/models/leaseModel.ts
+++ b/packages/proof/src/models/leaseModel.ts
@@ -19,6 +19,13 @@
   row: LeaseRow
   version: number
   askedAt: number
+  /** The store has decided; the answer is under way. */
+  outcome?: 'committed' | 'failed'
+}
+
+interface Order {
+  box: string
+  fence: number
 }
 
 interface LeaseModelState {
@@ -28,7 +35,7 @@
   version: number
   writes: Write[]
   /** Orders on their way to the engine. */
-  orders: number[]
+  orders: Order[]
   engineFence: number
   /** An order took effect after one with a later fence. */
   wentBack: boolean
@@ -77,17 +84,22 @@
     const lease = state.boxes[box]!
     if (!state.writes.some(write => write.box === box))
       actions.push({ type: 'look at the row', box })
-    if (heldFence(lease, state.now) !== undefined && state.orders.length < 1)
+    if (heldFence(lease, state.now) !== undefined && !state.orders.some(order => order.box === box))
       actions.push({ type: 'order', box })
   }
   state.writes.forEach((write, index) => {
+    if (write.outcome) {
+      actions.push({ type: 'late answer arrives', box: write.box, index })
+      return
+    }
     actions.push({ type: 'write is taken', box: write.box, index })
     if (state.faults > 0) {
+      actions.push({ type: 'write is taken and answered late', box: write.box, index })
       actions.push({ type: 'write is lost', box: write.box, index })
       actions.push({ type: 'write is taken and its answer lost', box: write.box, index })
     }
   })
-  state.orders.forEach((_fence, index) => actions.push({ type: 'order arrives', index }))
+  state.orders.forEach((_order, index) => actions.push({ type: 'order arrives', index }))
   if (state.now < LAST_TICK) actions.push({ type: 'time passes' })
   return actions
 }
@@ -100,7 +112,10 @@
     case 'look at the row':
       return look(state, action.box!)
     case 'order':
-      state.orders.push(heldFence(state.boxes[action.box!]!, state.now)!)
+      state.orders.push({
+        box: action.box!,
+        fence: heldFence(state.boxes[action.box!]!, state.now)!,
+      })
       return
     case 'order arrives':
       return arrive(state, action.index!, mutation)
@@ -132,18 +147,32 @@
 }
 
 function takeWrite(state: LeaseModelState, action: LeaseAction, mutation?: LeaseMutation): void {
-  const [write] = state.writes.splice(action.index!, 1)
-  const { box, row, version, askedAt } = write!
+  const write = state.writes[action.index!]!
+  if (action.type === 'late answer arrives')
+    return answer(state, action.index!, write.outcome!, mutation)
+  const { row, version } = write
   const isBlind = mutation === 'take over without looking at the version'
   const applies = action.type !== 'write is lost' && (version === state.version || isBlind)
   if (applies) {
     state.row = { ...row }
     state.version++
   }
-  const isAnswered = action.type === 'write is taken'
-  if (!isAnswered) state.faults--
+  const outcome = applies ? 'committed' : 'failed'
+  if (action.type === 'write is taken') return answer(state, action.index!, outcome, mutation)
+  state.faults--
+  if (action.type === 'write is taken and answered late') write.outcome = outcome
+  else answer(state, action.index!, 'failed', mutation)
+}
+
+function answer(
+  state: LeaseModelState,
+  index: number,
+  outcome: 'committed' | 'failed',
+  mutation?: LeaseMutation,
+): void {
+  const [write] = state.writes.splice(index, 1)
+  const { box, row, askedAt } = write!
   const asked = mutation === 'count the hold from the answer' ? state.now : askedAt
-  const outcome = applies && isAnswered ? 'committed' : 'failed'
   leaseTransition(
     state.boxes[box]!,
     { type: 'write-answered', askedAt: asked, row, outcome },
@@ -152,10 +181,10 @@
 }
 
 function arrive(state: LeaseModelState, index: number, mutation?: LeaseMutation): void {
-  const [fence] = state.orders.splice(index, 1)
-  if (fence! < state.engineFence) {
+  const [order] = state.orders.splice(index, 1)
+  if (order!.fence < state.engineFence) {
     if (mutation === 'engine does not check the fence') state.wentBack = true
     return
   }
-  state.engineFence = fence!
+  state.engineFence = order!.fence
 }
