A refusal is true of the whole request; a doubtful answer goes out when the next stage cannot be had

Cause: reading the code: a second try that found no upstream said not-run although the first may have run, and a cascade whose last stage failed refused with an answer in hand.

--- a/packages/box/src/requests/answerCompletion.ts
+++ b/packages/box/src/requests/answerCompletion.ts
@@ -16,8 +16,8 @@
 import { parseCompletion, type Completion } from './parseCompletion.js'
 import { relayCompletion } from './relayCompletion.js'
 import { checkVersion, resolveSession, type SessionVersions } from './resolveSession.js'
-import { judgeStage } from './judgeStage.js'
-import type { SendOptions } from './sendToUpstream.js'
+import { answerJudged, judgeStage, type JudgedAnswer } from './judgeStage.js'
+import { withTrueVerdict, type SendOptions } from './sendToUpstream.js'
 
 /** The model name that leaves the choice to the cascade of the request's kind. */
 const AUTO = 'auto'
@@ -65,7 +65,7 @@
   services.allowances.settle(organisation, limit, reserved, task.bill.cost)
   if (!refusal) return
   await task.bill.giveUp()
-  refuse(refusal)
+  refuse(withTrueVerdict(context, refusal))
 }
 
 /** Runs stages until one has answered the caller. Gives a refusal when nothing has gone to the caller. */
@@ -82,16 +82,19 @@
     mayWaitForJudging(context, completion),
   )
   task.promised = choice.promised
+  let kept: JudgedAnswer | undefined
   for (let stage = choice.start; stage < models.length; stage++) {
     const version = task.versions.versionOf(models[stage]!)
-    if (version.isErr) return version.error
     const isLast = stage === models.length - 1
-    if (isLast || !choice.isJudged(stage)) return relayCompletion(task, version.value)
-    const judged = await judgeStage(task, version.value, confidence =>
-      choice.accepts(stage, confidence),
-    )
-    if (judged.isErr) return judged.error
-    if (judged.value === 'answered') return undefined
+    if (version.isOk && !isLast && choice.isJudged(stage)) {
+      const judged = await judgeStage(task, version.value)
+      if (judged && choice.accepts(stage, judged.confidence)) return answerJudged(task, judged)
+      kept = judged ?? kept
+      continue
+    }
+    const refusal = version.isOk ? await relayCompletion(task, version.value) : version.error
+    // A doubtful answer is better than none when the next stage cannot be had.
+    return refusal && kept ? answerJudged(task, kept) : refusal
   }
   return refuseNotRun('not-allowed', 'the cascade has no stage')
 }
--- a/packages/box/src/requests/callService.ts
+++ b/packages/box/src/requests/callService.ts
@@ -6,7 +6,12 @@
 import { answerRefusal } from './answerRefusal.js'
 import { BillKeeper } from './billKeeper.js'
 import { refuseStaleTable } from './filters.js'
-import { sendToUpstream, type OpenAnswer, type SendOptions } from './sendToUpstream.js'
+import {
+  sendToUpstream,
+  withTrueVerdict,
+  type OpenAnswer,
+  type SendOptions,
+} from './sendToUpstream.js'
 
 export const SERVICE_PATH = '/v1/services/'
 const KEY_HEADER = 'idempotency-key'
@@ -188,7 +193,8 @@
 }
 
 /** What may have run is billed; what did not run is not. */
-async function refuseCall({ context, bill }: ServiceCall, refusal: Refusal): Promise<void> {
+async function refuseCall({ context, bill }: ServiceCall, last: Refusal): Promise<void> {
+  const refusal = withTrueVerdict(context, last)
   if (refusal.verdict === 'not-run') await bill.giveUp()
   else await bill.close('cut-off')
   answerRefusal(context.responder, refusal, context.id)
--- a/packages/box/src/requests/handleRequest.ts
+++ b/packages/box/src/requests/handleRequest.ts
@@ -75,6 +75,7 @@
     responder,
     id,
     billId: id,
+    mayHaveRun: false,
     receivedAt: services.clock.now(),
     span: services.tracer.start(`${request.method} ${request.path}`, request.headers.traceparent),
     organisation: '',
--- a/packages/box/src/requests/judgeStage.ts
+++ b/packages/box/src/requests/judgeStage.ts
@@ -1,5 +1,4 @@
-import { formatVersion, type ModelVersion, type Refusal } from '@yewkeel/decisions'
-import { Result } from 'true-myth'
+import { formatVersion, type ModelVersion } from '@yewkeel/decisions'
 import { readText } from '../tasks/upstreamTask.js'
 import { sendOptionsFor, type CompletionTask } from './answerCompletion.js'
 import { readUsage } from './eventStream.js'
@@ -16,27 +15,37 @@
   usage?: unknown
 }
 
-/** Asks a stage for a whole answer and lets it out only if it is trusted; else the next stage is asked. */
+/** A whole answer that has not gone out yet. */
+export interface JudgedAnswer {
+  /** Mean probability of its tokens. */
+  confidence: number
+  bucket: number
+  version: ModelVersion
+  open: OpenAnswer
+  answer: WholeAnswer
+}
+
+/** Asks a stage for a whole answer and judges it. Undefined when the stage cannot be had. */
 export async function judgeStage(
   task: CompletionTask,
   version: ModelVersion,
-  accepts: (confidence: number) => boolean,
-): Promise<Result<'answered' | 'next-stage', Refusal>> {
+): Promise<JudgedAnswer | undefined> {
   const { context, bill, completion } = task
   const wholeWithLogprobs = { stream: false, stream_options: undefined, logprobs: true }
   const sent = await sendToUpstream(context, sendOptionsFor(task, version, wholeWithLogprobs))
-  // A stage that cannot be had is passed over: the next one may answer.
-  if (sent.isErr) return Result.ok('next-stage')
+  if (sent.isErr) return undefined
   const open = sent.value
   const text = await readWhole(open)
   const answer = text && parseAnswer(text)
-  if (!answer || answer.model !== formatVersion(version)) return Result.ok('next-stage')
+  if (!answer) return undefined
+  if (answer.model !== formatVersion(version)) {
+    context.services.upstreams.noteLie(open.view, formatVersion(version))
+    return undefined
+  }
   bill.addLine(version, open.view.id, readUsage(text) ?? { promptTokens: 0, completionTokens: 0 })
   const confidence = confidenceOf(answer)
   const bucket = context.services.quality.noteAnswer(completion.kind, version.model, confidence)
-  if (!accepts(confidence)) return Result.ok('next-stage')
-  await answerWhole(task, version, open, answer, bucket)
-  return Result.ok('answered')
+  return { confidence, bucket, version, open, answer }
 }
 
 async function readWhole(open: OpenAnswer): Promise<string | undefined> {
@@ -66,13 +75,11 @@
   return tokens.reduce((sum, token) => sum + Math.exp(token.logprob), 0) / tokens.length
 }
 
-async function answerWhole(
+/** Lets a judged answer out, in the form that the caller asked for. */
+export async function answerJudged(
   task: CompletionTask,
-  version: ModelVersion,
-  open: OpenAnswer,
-  answer: WholeAnswer,
-  bucket: number,
-): Promise<void> {
+  { version, open, answer, bucket }: JudgedAnswer,
+): Promise<undefined> {
   const { context, bill, completion } = task
   const { responder } = context
   const isStream = completion.body.stream === true
@@ -81,8 +88,8 @@
   await safe
   const contentType = isStream ? 'text/event-stream' : 'application/json'
   responder.start(200, answerHeaders(task, open, version, contentType))
-  if (isStream) responder.end(asEvents(answer))
-  else responder.end(JSON.stringify(answer))
+  responder.end(isStream ? asEvents(answer) : JSON.stringify(answer))
+  return undefined
 }
 
 /** A whole answer as the events of a stream. */
--- a/packages/box/src/requests/sendToUpstream.ts
+++ b/packages/box/src/requests/sendToUpstream.ts
@@ -65,6 +65,7 @@
     const refusal = admitTo(context, options, view) ?? options.checkBefore()
     if (refusal) return Result.err(refusal)
     const sent = await sendOnce(context, options, view, tries)
+    if (sent.isOk || sent.error.verdict !== 'not-run') context.mayHaveRun = true
     if (sent.isOk) {
       earnRetry(services.retries)
       return Result.ok(sent.value)
@@ -158,6 +159,12 @@
   }
 }
 
+/** The refusal with a verdict that is true of the request and not of its last try alone. */
+export function withTrueVerdict({ mayHaveRun }: RequestContext, refusal: Refusal): Refusal {
+  const isUntrue = mayHaveRun && refusal.verdict === 'not-run'
+  return isUntrue ? { ...refusal, verdict: 'may-have-run' } : refusal
+}
+
 function refuseNoUpstream(plan: SendPlan): Refusal {
   return refuseNotRun(
     'no-upstream',
--- a/packages/box/src/types/context.ts
+++ b/packages/box/src/types/context.ts
@@ -65,6 +65,8 @@
   /** Names the bill: the same for all attempts of a caller that sends an idempotency key. */
   billId: string
   receivedAt: Milliseconds
+  /** Some try at an upstream may have run, so no later refusal can say that the request did not. */
+  mayHaveRun: boolean
   span: Span
   /** Set by the filters that find them out. */
   organisation: string
--- a/packages/proof/test/faultTable.test.ts
+++ b/packages/proof/test/faultTable.test.ts
@@ -509,3 +509,38 @@
     expect(spent).to.be.above(0)
   })
 })
+
+describe('cascades', () => {
+  const cascade: TableRow = {
+    row: 'cascade',
+    organisation: '*',
+    kind: 'other',
+    stages: 'small>large',
+  }
+  const rows = [...DEMO_ROWS.filter(row => row.row !== 'limit'), cascade]
+
+  it('bill every stage that ran, once', async () => {
+    const system = await startSystem({ rows })
+    const answers = Array.from({ length: 30 }, (_, index) =>
+      completion(system, index % 5, { model: 'auto' }),
+    )
+    await settle(system)
+    expect((await Promise.all(answers)).every(answer => answer.status === 200)).to.equal(true)
+    expect(billsOf(system)).to.have.length(30)
+    const runs = [...system.engines.values()].reduce((sum, engine) => sum + engine.runs.size, 0)
+    const lines = billsOf(system).reduce((sum, bill) => sum + bill.lines.length, 0)
+    expect(lines).to.equal(runs)
+  })
+
+  it('never say not-run when an earlier try may have run', async () => {
+    const system = await startSystem({
+      rows,
+      engines: [{ id: 'engine-1', dataCentre: 'dc-1', versions: ['small@1'] }],
+    })
+    system.engines.get('engine-1')!.faults.loseAnswers = 1
+    const answers = Array.from({ length: 5 }, (_, index) => completion(system, index))
+    await settle(system, 10_000)
+    for (const answer of await Promise.all(answers))
+      expect(verdictOf(answer)).to.equal('may-have-run')
+  })
+})
