Read several rows of the store in one transaction; the demo waits for states and not for time

Cause: a fresh clone's demo failed: it looked for bills of keyed calls under the request's id, and its waits were spans of time that a slow machine may not keep. Over HTTP each row read was a request of its own. Change: bills of keyed calls are looked up by their key; waits are for states; reads are one txn with ranges.

--- a/packages/box/src/node/httpPlatform.ts
+++ b/packages/box/src/node/httpPlatform.ts
@@ -23,6 +23,10 @@
   mod_revision: string
 }
 
+interface ReadAnswer {
+  responses?: { response_range?: { kvs?: EncodedRow[] } }[]
+}
+
 /** Addresses of the platform's services. */
 export interface PlatformAddresses {
   table: string
@@ -62,14 +66,16 @@
     }
   }
   return {
-    async read(keys) {
-      const answers = await Promise.all(keys.map(key => range({ key: encode(key) })))
-      const rows: StoreRow[] = []
-      for (const answer of answers) {
-        if (answer.outcome !== 'read') return answer
-        rows.push(...answer.rows)
+    /** One transaction that only reads, so that the rows are of one instant and cost one read. */
+    async read(keys): Promise<ReadOutcome> {
+      const ranges = keys.map(key => ({ request_range: { key: encode(key) } }))
+      try {
+        const answer = (await post('/v3/kv/txn', { success: ranges })) as ReadAnswer
+        const found = (answer.responses ?? []).flatMap(each => each.response_range?.kvs ?? [])
+        return { outcome: 'read', rows: found.map(decodeRow) }
+      } catch {
+        return { outcome: 'unavailable' }
       }
-      return { outcome: 'read', rows }
     },
     list(prefix, { after, limit } = {}) {
       return range({
--- a/packages/proof/src/node/demo.ts
+++ b/packages/proof/src/node/demo.ts
@@ -6,6 +6,7 @@
   type Bill,
   type TableRow,
 } from '@yewkeel/decisions'
+import { resolveBillId } from '@yewkeel/box'
 import Table from 'cli-table3'
 import { request } from 'undici'
 import { DEMO_ROWS } from '../world/demoTable.js'
@@ -13,6 +14,7 @@
   applyRows,
   CALLER_KEY,
   OPERATOR_KEY,
+  ORGANISATION,
   startSystem,
   type RunningSystem,
 } from '../world/startSystem.js'
@@ -23,7 +25,7 @@
   box: string
   status: number
   verdict: string
-  requestId: string
+  billId: string
   version: string
   upstream: string
   answer: string
@@ -38,7 +40,7 @@
 }
 
 const clock = createSystemClock()
-const SETTLE = 2_500
+const LOOK_EVERY = 50
 const isOnce = process.argv.includes('--once')
 
 const system = await startSystem({
@@ -55,8 +57,11 @@
 })
 console.log('three boxes and the stand-ins run on loopback\n')
 
+await waitUntil(() =>
+  system.boxes.every(({ box }) => box.services.membership.livePeers().length === 2),
+)
 let revision = await applyTable(system, DEMO_ROWS, 'first-table')
-await sleep(clock, SETTLE)
+await waitUntil(() => isInForce(revision))
 const results: DemoResult[] = []
 results.push(
   await send(completion('tide-time question', 0, 'tide-time', 'When is high water at Le Morne?')),
@@ -82,7 +87,7 @@
   'an operator moves new sessions to large@2 and withdraws small@1 in favour of small@2\n',
 )
 revision = await applyTable(system, changedRows(), 'second-table')
-await sleep(clock, SETTLE)
+await waitUntil(() => isInForce(revision))
 results.push(
   await send(
     completion('pre-bell session goes on', 1, 'pre-bell', 'And of lot 13?', {
@@ -105,7 +110,7 @@
     }),
   ),
 )
-await sleep(clock, SETTLE)
+await Promise.all(system.boxes.map(({ box }) => box.services.bills.flushAll()))
 
 const bills = readBills(system)
 printResults(results, bills)
@@ -117,6 +122,18 @@
 }
 printLines(system)
 
+/** Waits for a state, however long a slow machine takes to come to it. */
+async function waitUntil(holds: () => boolean): Promise<void> {
+  while (!holds()) await sleep(clock, LOOK_EVERY)
+}
+
+function isInForce(wanted: number): boolean {
+  return system.boxes.every(({ box }) => {
+    const { table } = box.services
+    return table.state.table.revision >= wanted && table.freshness() !== 'stale'
+  })
+}
+
 function completion(
   what: string,
   box: number,
@@ -159,13 +176,15 @@
     body: JSON.stringify(body),
   })
   const text = await answer.body.text()
+  const key = headers?.['idempotency-key']
   const header = (name: string) => String(answer.headers[name] ?? '')
   return {
     what,
     box: `box-${box + 1}`,
     status: answer.statusCode,
     verdict: header('yewkeel-verdict') || (answer.statusCode < 400 ? 'ran' : ''),
-    requestId: header('x-request-id'),
+    // Attempts that share a key share a bill, which is named by the key.
+    billId: key ? resolveBillId(ORGANISATION, path, key) : header('x-request-id'),
     version: header('yewkeel-version'),
     upstream: header('yewkeel-upstream'),
     answer: excerpt(text),
@@ -224,7 +243,7 @@
     style: { head: [], border: [] },
   })
   for (const row of rows) {
-    const bill = bills.find(bill => bill.requestId === row.requestId)
+    const bill = bills.find(bill => bill.requestId === row.billId)
     const cost = bill ? (billCost(bill) / 1e6).toFixed(6) : '-'
     table.push([
       row.what,
@@ -245,14 +264,14 @@
   const ids = bills.map(bill => bill.requestId)
   const billedTwice = ids.length - new Set(ids).size
   // A call that is asked for again gets the first one's answer under the first one's id and bill.
-  const billed = answered.filter(row => ids.includes(row.requestId))
+  const billed = answered.filter(row => ids.includes(row.billId))
   const refusedNotRun = rows.filter(row => row.status >= 400 && row.verdict === 'not-run').length
   const holdsRun = [...system.standIns.services.get('booking')!.runs.values()]
   const right =
     answered.length + refusedNotRun === rows.length &&
     billedTwice === 0 &&
     billed.length === answered.length &&
-    bills.length === new Set(answered.map(row => row.requestId)).size &&
+    bills.length === new Set(answered.map(row => row.billId)).size &&
     holdsRun.every(count => count === 1)
   return {
     requests: rows.length,
--- a/packages/stand-ins/src/platform/tableHandler.ts
+++ b/packages/stand-ins/src/platform/tableHandler.ts
@@ -9,12 +9,15 @@
   limit?: number
 }
 
+interface TransactionStep {
+  request_put?: { key: string; value: string }
+  request_delete_range?: { key: string }
+  request_range?: RangeBody
+}
+
 interface TransactionBody {
   compare?: { key: string; mod_revision?: string; create_revision?: string }[]
-  success?: {
-    request_put?: { key: string; value: string }
-    request_delete_range?: { key: string }
-  }[]
+  success?: TransactionStep[]
 }
 
 /**
@@ -40,11 +43,21 @@
     return { kvs: rows.map(encodeRow), count: String(rows.length) }
   },
   '/v3/kv/txn': (table, body) => {
+    const reads = (body.success ?? []).flatMap(step => step.request_range ?? [])
+    if (reads.length > 0) return { succeeded: true, responses: readAll(table, reads) }
     table.counts.writes++
     return { succeeded: table.apply(decodeTransaction(body)) }
   },
 }
 
+/** A transaction that only reads counts as one read. */
+function readAll(table: MemoryTable, ranges: readonly RangeBody[]) {
+  table.counts.reads++
+  return ranges.map(({ key }) => ({
+    response_range: { kvs: readOne(table, decode(key)).map(encodeRow) },
+  }))
+}
+
 function readOne(table: MemoryTable, key: string): StoreRow[] {
   const row = table.rowOf(key)
   return row ? [row] : []
