--- a/packages/proof/src/measures/slopes.ts
+++ b/packages/proof/src/measures/slopes.ts
@@ -23,7 +23,7 @@
 
 const clock = createSystemClock()
 const BOX_COUNTS = [3, 6, 12, 24, 48]
-const UPSTREAM_COUNTS = [17, 120, 480]
+const UPSTREAM_COUNTS = [17, 240, 2_400]
 const STREAM_COUNTS = [200, 400, 800]
 const ROW_COUNTS = [500, 2_000, 8_000]
 const REVISION_COUNTS = [10, 100, 1_000]
