Index the table once for each set of open changes; call what the project already has

Cause: reading the whole change. Change: the index is kept for the copy and the ids of the open changes; billCost and MILLIONTHS are called; the dead field and a dead type are gone; isServed comes in with the task's other options.

--- a/packages/box/src/createBox.ts
+++ b/packages/box/src/createBox.ts
@@ -123,6 +123,7 @@
     metrics,
     competingVersions: () => competingVersions(),
     onRating: (answer, good) => quality.noteRating(answer, good),
+    isServed: version => upstreams.isServed(version),
     boxCount,
   })
   const upstreams = new UpstreamTask({
@@ -133,7 +134,6 @@
     listMachines: () => platform.listMachines(),
     onEntryBoxes: names => membership.setListed(names),
   })
-  exposure.isServed = version => upstreams.isServed(version)
   const placement = new PlacementTask({
     self,
     enabled: settings.placement,
--- a/packages/box/src/operators/handleOperator.ts
+++ b/packages/box/src/operators/handleOperator.ts
@@ -1,4 +1,5 @@
 import {
+  billCost,
   BILL_PREFIX,
   dayOf,
   diffTables,
@@ -9,15 +10,16 @@
   TABLE_KEYS,
   validateRows,
   type AcceptedChange,
+  type Bill,
   type ChangeOutcome,
   type Refusal,
   type SpendRow,
   type TableChange,
-  type TableRow,
 } from '@yewkeel/decisions'
 import type { Box } from '../createBox.js'
 import { answerRefusal } from '../requests/answerRefusal.js'
 import { CallerKeys } from '../requests/callerKeys.js'
+import { MILLIONTHS } from '../tasks/allowanceTask.js'
 import type { BoxServices } from '../types/context.js'
 import type { CallerRequest, Responder } from '../types/ports.js'
 
@@ -225,15 +227,15 @@
   if (answer.outcome !== 'read') return storeOut()
   const organisations = answer.rows.map(row => ({
     organisation: row.key.split('/').at(-1),
-    drawn: (JSON.parse(row.value) as SpendRow).drawn / 1_000_000,
+    drawn: (JSON.parse(row.value) as SpendRow).drawn / MILLIONTHS,
   }))
   const bills = await services.table.store.list(BILL_PREFIX, { limit: 10_000 })
   const billed = new Map<string, { cost: number; count: number }>()
   for (const row of bills.outcome === 'read' ? bills.rows : []) {
-    const bill = JSON.parse(row.value) as { organisation: string; lines: { cost: number }[] }
+    const bill = JSON.parse(row.value) as Bill
     const sum = billed.get(bill.organisation) ?? { cost: 0, count: 0 }
     sum.count++
-    sum.cost += bill.lines.reduce((total, line) => total + line.cost, 0) / 1_000_000
+    sum.cost += billCost(bill) / MILLIONTHS
     billed.set(bill.organisation, sum)
   }
   return ok({ day, organisations, billed: Object.fromEntries(billed) })
@@ -302,5 +304,3 @@
   const taken = await box.placement.setPaused(body.paused)
   return taken ? ok({ paused: body.paused }) : storeOut()
 }
-
-export type OperatorTable = { revision: number; rows: TableRow[] }
--- a/packages/box/src/requests/billKeeper.ts
+++ b/packages/box/src/requests/billKeeper.ts
@@ -1,4 +1,5 @@
 import {
+  billCost,
   costOf,
   formatVersion,
   type Bill,
@@ -44,7 +45,7 @@
   }
 
   get cost(): number {
-    return this.#bill.lines.reduce((sum, line) => sum + line.cost, 0)
+    return billCost(this.#bill)
   }
 
   /** Closes the bill. Resolves when it survives the loss of this box; the end of the answer waits for that. */
--- a/packages/box/src/tasks/exposureTask.ts
+++ b/packages/box/src/tasks/exposureTask.ts
@@ -53,6 +53,8 @@
   /** Versions of each model that take new sessions now, as `model@version`. */
   competingVersions(): string[][]
   onRating(answer: ServedAnswer, good: boolean): void
+  /** Whether any upstream is proved to run a version. */
+  isServed(version: string): boolean
   boxCount(): number
 }
 
@@ -104,8 +106,9 @@
     return Math.ceil(part) - (this.#servedSince.get(version) ?? 0)
   }
 
-  /** Overridden by the box with what the upstreams prove. */
-  isServed: (version: string) => boolean = () => true
+  isServed(version: string): boolean {
+    return this.options.isServed(version)
+  }
 
   get halts(): readonly Halt[] {
     return [...this.#halts.values()]
--- a/packages/box/src/tasks/tableTask.ts
+++ b/packages/box/src/tasks/tableTask.ts
@@ -58,7 +58,7 @@
   readonly #task: Task<TableMessage>
   readonly #answers = new Map<string, (outcome: ChangeOutcome) => void>()
   readonly #changeListeners: ((table: Table) => void)[] = []
-  #rights: { table: Table; open: number; rights: Rights[] } | undefined
+  #rights: { table: Table; open: string; rights: Rights[] } | undefined
   readonly #writer: ProposalWriter
   #isReading = false
   #registering = false
@@ -129,13 +129,13 @@
 
   /** Every table that a request must satisfy: the copy, and what open changes would make of it. */
   rights(): Rights[] {
-    const { table, open } = this.#state
+    const { table } = this.#state
+    // Indexing costs a pass over the table; while a change is open it must not fall on every request.
+    const open = [...this.#state.open.keys()].join('\n')
     const known = this.#rights
-    if (known && known.table === table && known.open === open.size && open.size === 0) {
-      return known.rights
-    }
+    if (known && known.table === table && known.open === open) return known.rights
     const rights = resolveTablesInDoubt(this.#state).map(resolveRights)
-    this.#rights = { table, open: open.size, rights }
+    this.#rights = { table, open, rights }
     return rights
   }
 
--- a/packages/decisions/src/bills/billLedger.ts
+++ b/packages/decisions/src/bills/billLedger.ts
@@ -31,8 +31,6 @@
   witnesses: VoterId[]
   /** Witnesses that hold the bill at its present stage. */
   heldBy: Set<VoterId>
-  /** Taken over from a box that is gone. */
-  adopted: boolean
 }
 
 /** State of one box's ledger. */
@@ -122,7 +120,6 @@
     bill,
     witnesses,
     heldBy: new Set(),
-    adopted: false,
   })
   return witnesses.map(to => ({ type: 'send-hold', to, bills: [bill] }))
 }
@@ -219,7 +216,6 @@
       bill,
       witnesses,
       heldBy: new Set(),
-      adopted: true,
     })
     if (bill.stage === 'closed') state.queue.push(bill.requestId)
     else effects.push({ type: 'reconcile', bill })
