Replace an invariant of the claims' model that could not fail

Cause: 'not-run is told of the call and not of the attempt alone' followed from the model's own steps, so no fault could break it. Change: a caller that is told not-run must be told before any attempt at the call ran; a mutation that says not-run without knowing the claim breaks it.

--- a/packages/proof/src/models/claimModel.ts
+++ b/packages/proof/src/models/claimModel.ts
@@ -7,10 +7,13 @@
   | 'overwrite a claim that stands'
   | 'say not-run after sending'
   | 'take over a claim that may have run'
+  | 'say not-run without knowing the claim'
 
 interface Attempt {
   step: 'idle' | 'writing' | 'unsure' | 'holding' | 'sent' | 'answered' | 'told'
   told?: 'not-run' | 'may-have-run' | 'ran'
+  /** The call had run, by whichever attempt, when the caller was told. */
+  toldAfterRun: boolean
   /** The write of the claim is under way and may still take effect. */
   writeOpen: boolean
   ran: boolean
@@ -34,7 +37,13 @@
 
 /** Claims on one call: attempts race, answers of the store are lost, boxes pause at any step, the store is out. */
 export function createClaimModel(mutation?: ClaimMutation): Model<ClaimState, ClaimAction> {
-  const attempt = (): Attempt => ({ step: 'idle', writeOpen: false, ran: false, settled: false })
+  const attempt = (): Attempt => ({
+    step: 'idle',
+    writeOpen: false,
+    toldAfterRun: false,
+    ran: false,
+    settled: false,
+  })
   return {
     name: 'claims',
     stands:
@@ -56,8 +65,8 @@
         state.runs === 0 ||
         !Object.values(state.attempts).some(({ told, ran }) => told === 'not-run' && ran),
       'not-run is told of the call and not of the attempt alone': state =>
-        Object.entries(state.attempts).every(
-          ([, { told, step }]) => told !== 'not-run' || step === 'told',
+        Object.values(state.attempts).every(
+          ({ told, toldAfterRun }) => told !== 'not-run' || !toldAfterRun,
         ),
       'ran is told only of what ran': state =>
         Object.values(state.attempts).every(({ told }) => told !== 'ran' || state.runs === 1),
@@ -136,10 +145,11 @@
     state.faults--
     attempt.step = 'unsure'
   },
-  'store refuses the write'(_state, attempt) {
+  'store refuses the write'(state, attempt, _name, mutation) {
     attempt.writeOpen = false
     // Nothing is known of earlier attempts at the call.
-    tell(attempt, 'may-have-run')
+    const isCareless = mutation === 'say not-run without knowing the claim'
+    tell(state, attempt, isCareless ? 'not-run' : 'may-have-run')
   },
   'late write takes effect'(state, attempt, name, mutation) {
     attempt.writeOpen = false
@@ -148,23 +158,23 @@
   'read the claim'(state, attempt, name, mutation) {
     if (state.row) follow(state, attempt, name, mutation)
   },
-  'give up'(_state, attempt) {
-    tell(attempt, 'may-have-run')
+  'give up'(state, attempt) {
+    tell(state, attempt, 'may-have-run')
   },
-  'give up before sending'(_state, attempt) {
+  'give up before sending'(state, attempt) {
     // The row is this attempt's: no attempt ran before it.
-    tell(attempt, 'not-run')
+    tell(state, attempt, 'not-run')
   },
   send(state, attempt) {
     attempt.ran = true
     attempt.step = 'sent'
     state.runs++
   },
-  'answer comes'(_state, attempt) {
-    tell(attempt, 'ran')
+  'answer comes'(state, attempt) {
+    tell(state, attempt, 'ran')
   },
-  'answer is broken off'(_state, attempt, _name, mutation) {
-    tell(attempt, mutation === 'say not-run after sending' ? 'not-run' : 'may-have-run')
+  'answer is broken off'(state, attempt, _name, mutation) {
+    tell(state, attempt, mutation === 'say not-run after sending' ? 'not-run' : 'may-have-run')
   },
   settle(state, attempt, name) {
     attempt.settled = true
@@ -178,8 +188,9 @@
   return attempt.told === 'ran' ? 'ran' : 'claimed'
 }
 
-function tell(attempt: Attempt, told: NonNullable<Attempt['told']>): void {
+function tell(state: ClaimState, attempt: Attempt, told: NonNullable<Attempt['told']>): void {
   attempt.step = 'told'
+  attempt.toldAfterRun = state.runs > 0
   attempt.told = told
 }
 
@@ -205,6 +216,6 @@
     writeRow(state, { attempt: name, digest: DIGEST, step: 'claimed' })
     attempt.step = 'holding'
   } else if (decided.decision === 'send') attempt.step = 'holding'
-  else if (decided.decision === 'refuse') tell(attempt, decided.refusal.verdict)
-  else tell(attempt, 'ran')
+  else if (decided.decision === 'refuse') tell(state, attempt, decided.refusal.verdict)
+  else tell(state, attempt, 'ran')
 }
--- a/packages/proof/src/node/modelCheck.ts
+++ b/packages/proof/src/node/modelCheck.ts
@@ -49,6 +49,7 @@
       'overwrite a claim that stands',
       'say not-run after sending',
       'take over a claim that may have run',
+      'say not-run without knowing the claim',
     ],
   ),
   protocol<LeaseMutation>(
--- a/packages/proof/test/models.test.ts
+++ b/packages/proof/test/models.test.ts
@@ -39,6 +39,7 @@
     'overwrite a claim that stands',
     'say not-run after sending',
     'take over a claim that may have run',
+    'say not-run without knowing the claim',
   ]
   for (const mutation of claimMutations) {
     it(`break for claims without the rule (${mutation})`, () => {
