One choice and admission for both kinds of request in the load measurement

Cause: completions and calls chose an upstream and asked admission in two copies of the same steps. Change: chooseAndAdmit serves both; an unused parameter is gone.

--- a/packages/proof/src/measures/policyLoad.ts
+++ b/packages/proof/src/measures/policyLoad.ts
@@ -16,8 +16,10 @@
   predictLoad,
   predictQueue,
   PrefixMap,
+  type AdmissionRequest,
   type Milliseconds,
   type Random,
+  type RequestOutlook,
   type UpstreamStrategyName,
   type UpstreamView,
 } from '@yewkeel/decisions'
@@ -148,7 +150,7 @@
     askCompletion(workload, world, clock, random, policy, result),
   )
   runArrivals(clock, random, capacity.callsPerSecond * load, () =>
-    askCall(workload, world, clock, random, policy, result),
+    askCall(world, clock, random, policy, result),
   )
   clock.advanceSync(SPAN)
   result.capacityTokens = (capacity.tokensPerSecond * (SPAN - WARM_UP)) / 1_000
@@ -307,40 +309,18 @@
     promptTokens: session.promptTokens,
     cachedTokensOf: (id: string) => cached.get(id) ?? 0,
   }
-  const isPredicted = policy === 'predicted'
-  const choice = {
-    pool: box.views,
-    affine: isPredicted ? box.views.filter(view => cached.has(view.id)) : [],
-    request,
-    excluded: new Set<string>(),
-    now: clock.now(),
-    random,
-    turn: box.turn++,
-  }
   const isCounted = clock.now() > WARM_UP
   if (isCounted) result.asked++
-  const view = chooseUpstream(policy, choice)
   const share = workload.organisations.find(other => other.name === organisation)!.share
-  const refused =
-    !view ||
-    (isPredicted &&
-      admit(
-        {
-          organisation,
-          priority: kind.completionTokens > 200 ? 'low' : 'normal',
-          isCall: false,
-          deadline: clock.now() + FIRST_TOKEN_DEADLINE,
-        },
-        poolOutlook(
-          box,
-          box.views,
-          predictFirstToken(view, request, clock.now()),
-          'engines',
-          clock.now(),
-        ),
-        clock.now(),
-      ))
-  if (refused) {
+  const admission: AdmissionRequest = {
+    organisation,
+    priority: kind.completionTokens > 200 ? 'low' : 'normal',
+    isCall: false,
+    deadline: clock.now() + FIRST_TOKEN_DEADLINE,
+  }
+  const affine = box.views.filter(view => cached.has(view.id))
+  const view = chooseAndAdmit(box, 'engines', { affine, request, admission, policy }, clock, random)
+  if (!view) {
     if (isCounted) result.refused++
     return
   }
@@ -374,7 +354,6 @@
 
 /** A call to the booking service: a look at what is free, or a hold that must be in time. */
 function askCall(
-  _workload: Workload,
   world: LoadWorld,
   clock: ManualClock,
   random: Random,
@@ -384,38 +363,17 @@
   const box = world.boxes[Math.floor(random() * world.boxes.length)]!
   const isHold = random() < HOLD_SHARE
   const request = { dataCentre: '', promptTokens: 0, cachedTokensOf: () => 0 }
-  const choice = {
-    pool: box.services,
-    affine: [],
-    request,
-    excluded: new Set<string>(),
-    now: clock.now(),
-    random,
-    turn: box.turn++,
-  }
   const isCounted = clock.now() > WARM_UP
-  const view = chooseUpstream(policy, choice)
   if (isCounted && isHold) result.holds++
-  const refused =
-    !view ||
-    (policy === 'predicted' &&
-      admit(
-        {
-          organisation: 'all',
-          priority: 'normal',
-          isCall: isHold,
-          deadline: clock.now() + FIRST_TOKEN_DEADLINE,
-        },
-        poolOutlook(
-          box,
-          box.services,
-          predictFirstToken(view, request, clock.now()),
-          'services',
-          clock.now(),
-        ),
-        clock.now(),
-      ))
-  if (refused) return
+  const admission: AdmissionRequest = {
+    organisation: 'all',
+    priority: 'normal',
+    isCall: isHold,
+    deadline: clock.now() + FIRST_TOKEN_DEADLINE,
+  }
+  const asked = { affine: [], request, admission, policy }
+  const view = chooseAndAdmit(box, 'services', asked, clock, random)
+  if (!view) return
   const askedAt = clock.now()
   noteSent(view, askedAt)
   world.services[box.services.indexOf(view)]!.submit({
@@ -432,11 +390,45 @@
   })
 }
 
+type PoolName = 'engines' | 'services'
+
+interface AskedRequest {
+  affine: UpstreamView[]
+  request: RequestOutlook
+  admission: AdmissionRequest
+  policy: UpstreamStrategyName
+}
+
+/** The upstream that the policy chooses. Only the product's own policy has affinity and admission. */
+function chooseAndAdmit(
+  box: LoadBox,
+  poolName: PoolName,
+  { affine, request, admission, policy }: AskedRequest,
+  clock: ManualClock,
+  random: Random,
+): UpstreamView | undefined {
+  const now = clock.now()
+  const pool = poolName === 'engines' ? box.views : box.services
+  const isPredicted = policy === 'predicted'
+  const view = chooseUpstream(policy, {
+    pool,
+    affine: isPredicted ? affine : [],
+    request,
+    excluded: new Set(),
+    now,
+    random,
+    turn: box.turn++,
+  })
+  if (!view || !isPredicted) return view
+  const outlook = poolOutlook(box, pool, predictFirstToken(view, request, now), poolName, now)
+  return admit(admission, outlook, now) ? undefined : view
+}
+
 function poolOutlook(
   box: LoadBox,
   views: readonly UpstreamView[],
   firstToken: Milliseconds,
-  pool: string,
+  pool: PoolName,
   now: Milliseconds,
 ) {
   let load = 0
