--- a/packages/box/src/createBox.ts
+++ b/packages/box/src/createBox.ts
@@ -3,7 +3,6 @@
   createRetryBudget,
   drainTransition,
   formatVersion,
-  formatVoter,
   resolveWitnesses,
   sleep,
   takesNewRequests,
@@ -26,7 +25,12 @@
 import { TableTask } from './tasks/tableTask.js'
 import { PoolUses, UpstreamTask } from './tasks/upstreamTask.js'
 import type { BoxServices } from './types/context.js'
-import type { Heartbeat, PeerIdentity, PeerMessage } from './types/peerMessage.js'
+import {
+  voterOf,
+  type Heartbeat,
+  type PeerIdentity,
+  type PeerMessage,
+} from './types/peerMessage.js'
 import type {
   CallerRequest,
   Log,
@@ -73,7 +77,7 @@
 /** Builds a box on what it is given. Nothing runs before `start`. */
 export function createBox(options: BoxOptions): Box {
   const { settings, identity, clock, random, platform, client, transport, log, metrics } = options
-  const self = formatVoter(identity.box, identity.incarnation)
+  const self = voterOf(identity)
   const router = `${identity.box}.${identity.incarnation}.`
   const drain = createDrainState(settings.addressLifetimeMilliseconds)
   /** Epoch of the voter set that each peer knows. */
@@ -154,9 +158,9 @@
     log,
     contentFor,
     onHeartbeat,
-    onMessage: (from, message) => hearPeer(formatVoter(from.box, from.incarnation), message),
+    onMessage: (from, message) => hearPeer(voterOf(from), message),
     onConnected(peer) {
-      const voter = formatVoter(peer.box, peer.incarnation)
+      const voter = voterOf(peer)
       exposure.resetPeer(voter)
       bills.post({ type: 'peer-connected', peer: voter })
     },
@@ -199,7 +203,7 @@
 
   function liveWitnesses(): VoterId[] {
     const others = membership.livePeers().map(({ identity: peer }) => ({
-      voter: formatVoter(peer.box, peer.incarnation),
+      voter: voterOf(peer),
       dataCentre: peer.dataCentre,
     }))
     return resolveWitnesses({ voter: self, dataCentre: identity.dataCentre }, others)
--- a/packages/box/src/node/wsTransport.ts
+++ b/packages/box/src/node/wsTransport.ts
@@ -2,11 +2,11 @@
 import { createServer } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
 import type { AddressInfo } from 'node:net'
-import { formatVoter, type Clock, type Milliseconds } from '@yewkeel/decisions'
+import type { Clock, Milliseconds } from '@yewkeel/decisions'
 import { Packr } from 'msgpackr'
 import { WebSocket, WebSocketServer } from 'ws'
 import { hashKey } from '../requests/callerKeys.js'
-import type { PeerIdentity, PeerMessage } from '../types/peerMessage.js'
+import { voterOf, type PeerIdentity, type PeerMessage } from '../types/peerMessage.js'
 import type { Log, PeerAddress, PeerListener, PeerTransport } from '../types/ports.js'
 import { splitAddress } from './httpServer.js'
 
@@ -158,12 +158,12 @@
     const identity = parseIdentity(bytes.toString())
     if (!identity || link.peer) return
     link.peer = identity
-    this.#byVoter.set(formatVoter(identity.box, identity.incarnation), link)
+    this.#byVoter.set(voterOf(identity), link)
     this.#listener?.onConnected(identity)
   }
 
   #forget(link: Link): void {
-    const voter = formatVoter(link.peer!.box, link.peer!.incarnation)
+    const voter = voterOf(link.peer!)
     if (this.#byVoter.get(voter) === link) this.#byVoter.delete(voter)
   }
 
--- a/packages/box/src/tasks/membershipTask.ts
+++ b/packages/box/src/tasks/membershipTask.ts
@@ -1,12 +1,17 @@
 import {
-  formatVoter,
   relaysOf,
   type Clock,
   type DirectoryEntry,
   type Milliseconds,
   type VoterId,
 } from '@yewkeel/decisions'
-import type { BoxState, Heartbeat, PeerIdentity, PeerMessage } from '../types/peerMessage.js'
+import {
+  voterOf,
+  type BoxState,
+  type Heartbeat,
+  type PeerIdentity,
+  type PeerMessage,
+} from '../types/peerMessage.js'
 import type { Log, PeerAddress, PeerTransport } from '../types/ports.js'
 import { every } from './every.js'
 
@@ -175,7 +180,7 @@
 
   /** Undefined for an incarnation that is known to have ended. */
   #meet(identity: PeerIdentity): VoterId | undefined {
-    const voter = formatVoter(identity.box, identity.incarnation)
+    const voter = voterOf(identity)
     if (this.#gone.has(voter) || identity.box === this.options.self.box) return undefined
     if (this.#peers.has(voter)) return voter
     for (const [other, view] of this.#peers) {
@@ -203,7 +208,7 @@
   }
 
   get #selfVoter(): VoterId {
-    return formatVoter(this.options.self.box, this.options.self.incarnation)
+    return voterOf(this.options.self)
   }
 
   #beat(): void {
--- a/packages/box/src/types/peerMessage.ts
+++ b/packages/box/src/types/peerMessage.ts
@@ -1,12 +1,13 @@
-import type {
-  Bill,
-  EvidenceCounter,
-  Halt,
-  Milliseconds,
-  Proposal,
-  TableRow,
-  VoterId,
-  VoterSet,
+import {
+  formatVoter,
+  type Bill,
+  type EvidenceCounter,
+  type Halt,
+  type Milliseconds,
+  type Proposal,
+  type TableRow,
+  type VoterId,
+  type VoterSet,
 } from '@yewkeel/decisions'
 
 /** Who a box is. A restart makes a new incarnation. */
@@ -65,3 +66,8 @@
   | { type: 'stream-question'; requestId: string }
   | { type: 'stream-answer'; requestId: string; bill?: Bill }
   | { type: 'goodbye' }
+
+/** The voter that a box's present run is. */
+export function voterOf({ box, incarnation }: PeerIdentity): VoterId {
+  return formatVoter(box, incarnation)
+}
--- a/packages/proof/src/world/memoryNetwork.ts
+++ b/packages/proof/src/world/memoryNetwork.ts
@@ -1,5 +1,6 @@
 import {
   UpstreamFailure,
+  voterOf,
   type PeerAddress,
   type PeerIdentity,
   type PeerListener,
@@ -9,7 +10,7 @@
   type UpstreamClient,
   type UpstreamRequest,
 } from '@yewkeel/box'
-import { formatVoter, sleep, type Clock, type Milliseconds } from '@yewkeel/decisions'
+import { sleep, type Clock, type Milliseconds } from '@yewkeel/decisions'
 import { DroppedConnection, type StandInHandler } from '@yewkeel/stand-ins'
 import { Packr } from 'msgpackr'
 import type { PausableClock } from './pausableClock.js'
@@ -80,7 +81,7 @@
       !this.isLinked(member.identity.box, other.identity.box)
     )
       return
-    const voter = voterOf(other)
+    const voter = voterOf(other.identity)
     if (connected.get(voter) === other) return
     connected.set(voter, other)
     this.clock.after(this.#latency(member, other) * 2, () =>
@@ -175,7 +176,3 @@
     clock.after(after, () => reject(new UpstreamFailure('maybe', 'no answer in time', true)))
   })
 }
-
-function voterOf({ identity }: Member): string {
-  return formatVoter(identity.box, identity.incarnation)
-}
