--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint'
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**'] },
   eslint.configs.recommended,
   ...tseslint.configs.recommended,
   {
@@ -23,6 +23,7 @@
       'packages/ctl/src/**',
       'packages/stand-ins/src/node/**',
       'packages/box/src/node/main.ts',
+      'platform/src/main.ts',
     ],
     rules: { 'no-console': 'off' },
   },
--- a/packages/box/src/node/wsTransport.ts
+++ b/packages/box/src/node/wsTransport.ts
@@ -19,6 +19,8 @@
   tls?: { cert: string; key: string; ca: string }
   clock: Clock
   log: Log
+  /** A link with more than this waiting is broken off. Bytes. */
+  largestBacklog?: number
 }
 
 const LARGEST_MESSAGE = 64 * 1024 * 1024
@@ -28,23 +30,25 @@
 /** A link with more than this waiting is broken off: the peer reads no more. */
 const LARGEST_BACKLOG = 16 * 1024 * 1024
 
-interface Link {
+interface Link<Message> {
   socket: WebSocket
   peer?: PeerIdentity
   /** Messages of this turn of the event loop; they go out in one frame. */
-  waiting: PeerMessage[]
+  waiting: Message[]
 }
 
 /**
  * Links between boxes over WebSockets, one for each direction. A box sends on the links that it dialled and
  * hears on those that it accepted.
  */
-export class WsTransport implements PeerTransport {
+export class WsTransport<
+  Message extends { type: string } = PeerMessage,
+> implements PeerTransport<Message> {
   readonly #packer = new Packr({ structuredClone: false })
-  readonly #links = new Map<string, Link>()
-  readonly #byVoter = new Map<string, Link>()
+  readonly #links = new Map<string, Link<Message>>()
+  readonly #byVoter = new Map<string, Link<Message>>()
   #wanted = new Map<string, PeerAddress>()
-  #listener: PeerListener | undefined
+  #listener: PeerListener<Message> | undefined
   #server: ReturnType<typeof createServer> | undefined
   #sockets: WebSocketServer | undefined
   #isClosed = false
@@ -83,7 +87,7 @@
     return `${host}:${(server.address() as AddressInfo).port}`
   }
 
-  listen(listener: PeerListener): void {
+  listen(listener: PeerListener<Message>): void {
     this.#listener = listener
   }
 
@@ -97,10 +101,10 @@
     }
   }
 
-  send(to: string, message: PeerMessage): boolean {
+  send(to: string, message: Message): boolean {
     const link = this.#byVoter.get(to)
     if (!link || link.socket.readyState !== WebSocket.OPEN) return false
-    if (link.socket.bufferedAmount > LARGEST_BACKLOG) {
+    if (link.socket.bufferedAmount > (this.options.largestBacklog ?? LARGEST_BACKLOG)) {
       link.socket.terminate()
       return false
     }
@@ -109,7 +113,7 @@
     return true
   }
 
-  #flush(link: Link): void {
+  #flush(link: Link<Message>): void {
     const messages = link.waiting
     link.waiting = []
     if (link.socket.readyState === WebSocket.OPEN) link.socket.send(this.#packer.pack(messages))
@@ -137,7 +141,7 @@
       headers: { [SECRET_HEADER]: secret, [IDENTITY_HEADER]: JSON.stringify(self) },
       maxPayload: LARGEST_MESSAGE,
     })
-    const link: Link = { socket, waiting: [] }
+    const link: Link<Message> = { socket, waiting: [] }
     this.#links.set(address, link)
     // The accepting side says who it is in its first message.
     socket.on('message', (bytes: Buffer) => this.#identify(link, bytes))
@@ -154,7 +158,7 @@
     })
   }
 
-  #identify(link: Link, bytes: Buffer): void {
+  #identify(link: Link<Message>, bytes: Buffer): void {
     const identity = parseIdentity(bytes.toString())
     if (!identity || link.peer) return
     link.peer = identity
@@ -162,7 +166,7 @@
     this.#listener?.onConnected(identity)
   }
 
-  #forget(link: Link): void {
+  #forget(link: Link<Message>): void {
     const voter = voterOf(link.peer!)
     if (this.#byVoter.get(voter) === link) this.#byVoter.delete(voter)
   }
@@ -178,9 +182,9 @@
   }
 
   /** Undefined for a frame that is not a list of messages. */
-  #unpack(bytes: Buffer): PeerMessage[] | undefined {
+  #unpack(bytes: Buffer): Message[] | undefined {
     try {
-      const messages = this.#packer.unpack(bytes) as PeerMessage[]
+      const messages = this.#packer.unpack(bytes) as Message[]
       const isList = Array.isArray(messages)
       return isList && messages.every(message => typeof message?.type === 'string')
         ? messages
--- a/packages/box/src/requests/eventStream.ts
+++ b/packages/box/src/requests/eventStream.ts
@@ -11,6 +11,11 @@
 export class EventSplitter {
   #rest: Buffer | undefined
 
+  /** Bytes of an event that is not whole yet. */
+  get hasRest(): boolean {
+    return this.#rest !== undefined
+  }
+
   /** The whole events that a chunk completes, if it completes any. */
   push(chunk: Uint8Array): Buffer | undefined {
     const bytes = this.#rest ? Buffer.concat([this.#rest, chunk]) : toBuffer(chunk)
--- a/packages/box/src/types/ports.ts
+++ b/packages/box/src/types/ports.ts
@@ -82,19 +82,19 @@
   address: string
 }
 
-export interface PeerListener {
-  onMessage(from: PeerIdentity, message: PeerMessage): void
+export interface PeerListener<Message = PeerMessage> {
+  onMessage(from: PeerIdentity, message: Message): void
   /** A link to the peer is new; what was sent before may be lost. */
   onConnected(peer: PeerIdentity): void
 }
 
 /** Links to other boxes. What is sent arrives in order or the link breaks. */
-export interface PeerTransport {
-  listen(listener: PeerListener): void
+export interface PeerTransport<Message = PeerMessage> {
+  listen(listener: PeerListener<Message>): void
   /** Keeps links to these and no others. */
   link(peers: readonly PeerAddress[]): void
   /** False when there is no link to the peer. */
-  send(to: string, message: PeerMessage): boolean
+  send(to: string, message: Message): boolean
   close(): Promise<void>
 }
 
--- /dev/null
+++ b/packages/decisions/src/listing/upstreamList.ts
@@ -0,0 +1,69 @@
+import type { Milliseconds } from '../types/clock.js'
+
+/** One upstream as the platform's list shows it. */
+export interface ListedUpstream {
+  /** Names one run of the upstream's process; its address may be used again by another. */
+  id: string
+  service: string
+  /** `host:port`. */
+  address: string
+  dataCentre: string
+  /** Of its software. */
+  version: string
+  /** Requests that it works on at a time. */
+  slots: number
+  state: 'ready' | 'draining'
+}
+
+export interface UpstreamListState {
+  entries: Map<string, ListedUpstream>
+  /** Entries that were missing from the first lists after an outage, and since when. */
+  missing: Map<string, Milliseconds>
+  /** The store gave no answer since the last list that was taken. */
+  isStoreOut: boolean
+  /** When the first list after an outage was taken. */
+  backAt?: Milliseconds
+}
+
+/** Upstreams that live write their entries again within two seconds of the store's return; with its own lag. */
+export const RETURN_GRACE: Milliseconds = 2_200
+
+export function createUpstreamListState(): UpstreamListState {
+  return { entries: new Map(), missing: new Map(), isStoreOut: false }
+}
+
+/** The store did not answer. Entries may lapse meanwhile although their upstreams live. */
+export function noteListOutage(state: UpstreamListState): void {
+  state.isStoreOut = true
+}
+
+/**
+ * Takes a whole list. An entry that is missing is gone, unless the store was out: then it is kept for a
+ * short time, in which a living upstream comes back. Gives the ids that are gone.
+ */
+export function takeUpstreamList(
+  state: UpstreamListState,
+  listed: readonly ListedUpstream[],
+  now: Milliseconds,
+): string[] {
+  if (state.isStoreOut) {
+    state.isStoreOut = false
+    state.backAt = now
+  }
+  const next = new Map(listed.map(entry => [entry.id, entry]))
+  const inGrace = state.backAt !== undefined && now - state.backAt < RETURN_GRACE
+  const gone: string[] = []
+  for (const [id, entry] of state.entries) {
+    if (next.has(id)) continue
+    if (inGrace && entry.state === 'ready') {
+      if (!state.missing.has(id)) state.missing.set(id, now)
+      next.set(id, entry)
+    } else {
+      gone.push(id)
+    }
+  }
+  for (const id of state.missing.keys()) if (!inGrace || !next.has(id)) state.missing.delete(id)
+  for (const entry of listed) state.missing.delete(entry.id)
+  state.entries = next
+  return gone
+}
--- /dev/null
+++ b/packages/gateway/src/createGateway.ts
@@ -0,0 +1,321 @@
+import type { PeerIdentity, PeerTransport } from '@yewkeel/box'
+import {
+  createRetryShare,
+  type Clock,
+  type Milliseconds,
+  type Random,
+  type Route,
+} from '@yewkeel/decisions'
+import { admitCaller, type Rejection } from './requests/admitCaller.js'
+import { forwardCall } from './requests/forwardCall.js'
+import { ForwardedRequest } from './requests/forwardedRequest.js'
+import { forwardStream } from './requests/forwardStream.js'
+import { StallWatch } from './requests/stallWatch.js'
+import { OperatorTask } from './tasks/operatorTask.js'
+import { PeerTask } from './tasks/peerTask.js'
+import { RolloutTask } from './tasks/rolloutTask.js'
+import { StoreReader } from './tasks/storeReader.js'
+import { UpstreamDirectory } from './tasks/upstreamDirectory.js'
+import type { GatewayMessage, GatewayState } from './types/gossip.js'
+import type {
+  BoxEntry,
+  CallerAnswer,
+  CallerRequest,
+  Dialect,
+  EventLog,
+  GatewayMetrics,
+  OperatorState,
+  Store,
+} from './types/ports.js'
+import type { GatewayServices } from './types/services.js'
+import type { GatewaySettings } from './types/settings.js'
+
+export interface GatewayOptions {
+  settings: GatewaySettings
+  identity: PeerIdentity
+  clock: Clock
+  random: Random
+  log: EventLog
+  metrics: GatewayMetrics
+  dialect: Dialect
+  store: Store
+  transport: PeerTransport<GatewayMessage>
+  /** The operators' limits on callers have changed. */
+  onConfiguration(state: OperatorState): void
+}
+
+/** A box that forwards requests of configured routes. */
+export interface Gateway {
+  services: GatewayServices
+  start(): void
+  handle(request: CallerRequest, answer: CallerAnswer): void
+  /** Addresses that callers may use now. */
+  addresses(dataCentre: string | undefined): string[]
+  isReady(): boolean
+  /** The box is told of as leaving and is ready no more; it still serves. */
+  beginToLeave(): void
+  stop(): Promise<void>
+}
+
+/** A round of gossip; the directory and the proofs of freshness allow four rounds without news. */
+const GOSSIP_EVERY: Milliseconds = 400
+const ROLLOUT_EVERY: Milliseconds = 200
+const ENTRIES_EVERY: Milliseconds = 12_000
+const ENTRIES_AFTER_FAILURE: Milliseconds = 700
+/** Boxes that read the store for all others. Two, so that the loss of one leaves no gap. */
+const READERS = 2
+/** Part of the time for honouring a taken-away key after which the box stops, unless it has a younger proof. */
+const KEY_MARGIN = 0.66
+/** A 401 or 404 is given only with a copy younger than this; the operators' changes reach all boxes sooner. */
+const REFUSALS_WITHIN: Milliseconds = 2_500
+/** Part of an upstream's connections that all boxes together use. */
+const CHANNEL_PART = 0.85
+const LEAST_CHANNELS = 3
+const MOST_ADDRESSES = 64
+
+const FORWARDERS: Record<Route['kind'], (run: ForwardedRequest) => Promise<void>> = {
+  safe: forwardCall,
+  unsafe: forwardCall,
+  streaming: forwardStream,
+}
+
+/** Builds a gateway from its settings, a clock, a source of chance and what speaks to the outside. */
+export function createGateway(options: GatewayOptions): Gateway {
+  const { settings, identity, clock, random, log, metrics, dialect, store, transport } = options
+  let state: GatewayState = 'starting'
+  let isStopped = false
+  let hasEntry = false
+
+  const operators = new OperatorTask({
+    clock,
+    log,
+    onChange(next) {
+      rollouts.takeOrders(next.orders)
+      options.onConfiguration(next)
+    },
+  })
+  const upstreams: UpstreamDirectory = new UpstreamDirectory({
+    clock,
+    random,
+    dataCentre: settings.dataCentre,
+    log,
+    metrics,
+  })
+  const rollouts: RolloutTask = new RolloutTask({
+    clock,
+    random,
+    log,
+    store,
+    upstreams,
+    rank,
+    allAnswers: () => [...rollouts.answers, ...peers.answers()],
+    othersInFlight: () => peers.othersInFlight(),
+  })
+  const reader = new StoreReader({
+    clock,
+    log,
+    metrics,
+    store,
+    operators,
+    upstreams,
+    rollouts,
+    isReader: () => rank() < READERS,
+    onOperatorsRead: () => peers.push({ type: 'operators', state: operators.state }),
+    onUpstreamsRead: () => peers.push({ type: 'upstreams', ...currentUpstreams() }),
+  })
+  const peers: PeerTask = new PeerTask({
+    self: identity,
+    clock,
+    log,
+    transport,
+    own: () => ({
+      state,
+      answers: rollouts.answers,
+      inFlight: rollouts.isUnderWay ? upstreams.inFlight() : [],
+      ...(operators.state.revision > 0 && {
+        operators: { revision: operators.state.revision, age: operators.age },
+      }),
+      ...(upstreams.fingerprint !== 0 && {
+        upstreams: { revision: upstreams.fingerprint, age: reader.listAge },
+      }),
+      rollouts: rollouts.statuses,
+      ...(rollouts.storeNow !== undefined && { storeNow: rollouts.storeNow }),
+    }),
+    onOperatorsProved(revision, provedAt) {
+      operators.prove(revision, provedAt)
+      return revision > operators.state.revision ? 'wanted' : 'known'
+    },
+    onUpstreamsProved(fingerprint, provedAt) {
+      if (fingerprint !== upstreams.fingerprint)
+        return provedAt > (reader.listProof.provedAt ?? -Infinity) ? 'wanted' : 'known'
+      reader.listProof.provedAt = Math.max(reader.listProof.provedAt ?? -Infinity, provedAt)
+      return 'known'
+    },
+    onOperators: next => void operators.take(next),
+    onUpstreams: (_fingerprint, entries) => void upstreams.take(entries),
+    onRollouts: statuses => rollouts.takeStatuses(statuses),
+    onStoreClock: (storeNow, at) => rollouts.noteStoreClock(storeNow, at),
+    currentOperators: () => operators.state,
+    currentUpstreams,
+  })
+
+  function currentUpstreams() {
+    return { fingerprint: upstreams.fingerprint, entries: upstreams.entries }
+  }
+
+  /** This box's place by name among the boxes that serve. */
+  function rank(): number {
+    return peers.live().filter(peer => peer.state === 'serving' && peer.box < identity.box).length
+  }
+
+  const services: GatewayServices = {
+    settings,
+    clock,
+    random,
+    log,
+    metrics,
+    dialect,
+    operators,
+    upstreams,
+    rollouts,
+    retries: createRetryShare(settings.retries),
+    stalls: new StallWatch(clock),
+    boxCount: () => peers.live().length + 1,
+    channelLimit(service) {
+      const most = operators.index?.service(service)?.maxConnections ?? Infinity
+      return Math.max(LEAST_CHANNELS, Math.floor((CHANNEL_PART * most) / services.boxCount()))
+    },
+  }
+
+  function freshness() {
+    const { keyRevocation } = settings
+    return {
+      age: operators.age,
+      keysWithin: keyRevocation === undefined ? undefined : KEY_MARGIN * keyRevocation,
+      refusalsWithin: REFUSALS_WITHIN,
+    }
+  }
+
+  function reject(request: CallerRequest, id: string, answer: CallerAnswer, why: Rejection): void {
+    const retryAfter = why.status === 503 ? REJECTED_RETRY_AFTER : undefined
+    answer.start(why.status, dialect.writeRefusal(id, retryAfter))
+    answer.end(why.reason)
+    metrics.count('requests', why.reason)
+    log.request(
+      {
+        id,
+        outcome: why.reason,
+        status: why.status,
+        host: request.host,
+        target: request.target,
+        configuration: operators.index?.configuration.revision,
+        configurationAge: Math.round(operators.age),
+      },
+      true,
+    )
+  }
+
+  function repeat(interval: Milliseconds, step: () => void): void {
+    clock.after(interval, () => {
+      if (isStopped) return
+      step()
+      repeat(interval, step)
+    })
+  }
+
+  /** Enters the box in the store and learns of the others, again and again. */
+  async function keepEntry(): Promise<void> {
+    let pause = ENTRIES_EVERY
+    try {
+      const entries = await store.readBoxes()
+      await enterSelf(entries)
+      await removeForgotten(entries)
+      peers.takeEntries(entries)
+    } catch (error) {
+      pause = hasEntry ? ENTRIES_EVERY : ENTRIES_AFTER_FAILURE
+      log.note('entry-failed', { error: String(error), pause })
+    }
+    clock.after(pause, () => void (isStopped || keepEntry()))
+  }
+
+  async function enterSelf(entries: readonly BoxEntry[]): Promise<void> {
+    const { box, dataCentre, peerAddress } = identity
+    const known = entries.find(entry => entry.box === box)
+    if (known?.peerAddress !== peerAddress) await store.writeBox({ box, dataCentre, peerAddress })
+    if (!hasEntry) {
+      hasEntry = true
+      // Others that entered at the same moment are seen by a second look soon after.
+      clock.after(ENTRIES_AFTER_FAILURE, () => void readEntries())
+    }
+  }
+
+  async function readEntries(): Promise<void> {
+    try {
+      peers.takeEntries(await store.readBoxes())
+    } catch (error) {
+      log.note('entry-failed', { error: String(error) })
+    }
+  }
+
+  /** One box clears away the entries of those that are gone. */
+  async function removeForgotten(entries: readonly BoxEntry[]): Promise<void> {
+    if (rank() > 0 || clock.now() - startedAt < ENTRIES_EVERY) return
+    const silent = new Set(peers.forgotten())
+    const gone = entries.filter(entry => silent.has(entry.box)).map(entry => entry.box)
+    if (gone.length === 0) return
+    await store.removeBoxes(gone)
+    log.note('entries-removed', { boxes: gone })
+  }
+
+  const startedAt = clock.now()
+  return {
+    services,
+    start() {
+      reader.start()
+      services.stalls.start()
+      void keepEntry()
+      repeat(GOSSIP_EVERY, () => peers.tick())
+      repeat(ROLLOUT_EVERY, () => {
+        if (state === 'starting' && operators.index && upstreams.fingerprint !== 0) {
+          state = 'serving'
+          log.note('serving', { after: clock.now() - startedAt })
+          peers.tick()
+        }
+        rollouts.tick()
+      })
+    },
+    handle(request, answer) {
+      const fields = dialect.readRequest(request.headers)
+      const admitted = admitCaller(request, fields, operators.index, freshness(), random)
+      if ('status' in admitted) return reject(request, fields.id, answer, admitted)
+      const run = new ForwardedRequest(services, admitted, answer)
+      FORWARDERS[admitted.route.kind](run).catch((error: unknown) => {
+        log.note('request-failed', { id: fields.id, error: String(error) })
+        run.mayHaveRun = true
+        run.giveUp('internal error')
+      })
+    },
+    addresses(dataCentre) {
+      const others = peers.live().filter(peer => peer.state === 'serving')
+      const own = state === 'serving' ? [{ ...identity }] : []
+      const known = [...own, ...others]
+      const near = known.filter(box => box.dataCentre === dataCentre)
+      const far = known.filter(box => box.dataCentre !== dataCentre)
+      return [...near, ...far].slice(0, MOST_ADDRESSES).map(box => box.entryAddress)
+    },
+    isReady: () => state === 'serving',
+    beginToLeave() {
+      state = 'leaving'
+      log.note('leaving', {})
+      peers.tick()
+    },
+    async stop() {
+      isStopped = true
+      reader.stop()
+      await transport.close()
+    },
+  }
+}
+
+/** A box that just started has its configuration within this. */
+const REJECTED_RETRY_AFTER: Milliseconds = 400
--- /dev/null
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -0,0 +1,47 @@
+import { Counter, Histogram, Registry } from 'prom-client'
+import type { CounterName, GatewayMetrics } from '../types/ports.js'
+
+/** Bounds of the latency histogram in seconds: from a quick call to the longest stream. */
+const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 25]
+
+const HELP: Record<CounterName, string> = {
+  requests: 'requests by outcome',
+  exchanges: 'tries at upstreams by outcome',
+  retries: 'requests sent once more',
+  ejections: 'upstreams taken out of use, by service',
+  storeCalls: 'calls to the store by outcome',
+}
+
+export interface MetricsPage extends GatewayMetrics {
+  /** The figures in the usual text format. */
+  text(): Promise<string>
+}
+
+/** Counters and a latency histogram. */
+export function createGatewayMetrics(): MetricsPage {
+  const registry = new Registry()
+  const counters = {} as Record<CounterName, Counter<'kind'>>
+  for (const name of Object.keys(HELP) as CounterName[]) {
+    counters[name] = new Counter({
+      name: `yewkeel_${name.toLowerCase()}_total`,
+      help: HELP[name],
+      labelNames: ['kind'],
+      registers: [registry],
+    })
+  }
+  const latency = new Histogram({
+    name: 'yewkeel_request_seconds',
+    help: 'time from arrival to the end of the answer, by route and outcome',
+    labelNames: ['route', 'outcome'],
+    buckets: LATENCY_BUCKETS,
+    registers: [registry],
+  })
+  return {
+    count: (name, label) => counters[name].inc({ kind: label }),
+    observe(route, outcome, duration) {
+      counters.requests.inc({ kind: outcome })
+      latency.observe({ route, outcome }, duration / 1_000)
+    },
+    text: () => registry.metrics(),
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/forwardCall.ts
@@ -0,0 +1,115 @@
+import type { Upstream } from '../tasks/upstreamDirectory.js'
+import type { AnswerHead, ExchangeFault } from './exchangeWithUpstream.js'
+import type { ForwardedRequest } from './forwardedRequest.js'
+
+/** A try at a call came to no whole answer. */
+interface CallFault {
+  type: 'fault'
+  fault: ExchangeFault
+  /** The upstream may have run it. */
+  wasSent: boolean
+  detail: string
+}
+
+/** How one try at a call ended. `over`: the request ended meanwhile, for another reason. */
+type CallOutcome = { type: 'answer'; head: AnswerHead; body: Buffer } | CallFault | { type: 'over' }
+
+/** A whole answer and what it is worth. */
+interface WholeAnswer {
+  kind: AnswerKind
+  head: AnswerHead
+  body: Buffer
+}
+
+/** Forwards a call whose answer is passed on whole, trying again where the route allows it. */
+export async function forwardCall(run: ForwardedRequest): Promise<void> {
+  let last: WholeAnswer | undefined
+  while (run.takeTry()) {
+    const upstream = await run.findUpstream(undefined)
+    if (run.isOver) return
+    if (!upstream) break
+    const outcome = await tryCall(run, upstream)
+    if (outcome.type === 'over') return
+    last =
+      outcome.type === 'fault'
+        ? noteFault(run, upstream, outcome)
+        : noteAnswer(run, upstream, outcome)
+    if (last?.kind === 'answer') return run.deliver(last.head, last.body)
+    if (run.mayHaveRun && run.route.kind !== 'safe') break
+  }
+  if (run.isOver) return
+  if (last?.kind === 'failure' && !PROMISES_NOT_RUN.has(last.head.status))
+    return run.deliver(last.head, last.body)
+  run.giveUp(run.mayHaveRun ? 'no whole answer came' : 'no upstream took the request')
+}
+
+function noteFault(run: ForwardedRequest, upstream: Upstream, outcome: CallFault): undefined {
+  run.noteTry(upstream, 'lost', `${outcome.fault}: ${outcome.detail}`)
+  if (outcome.wasSent) run.mayHaveRun = true
+  else run.takeBackSend()
+}
+
+function noteAnswer(
+  run: ForwardedRequest,
+  upstream: Upstream,
+  { head, body }: { head: AnswerHead; body: Buffer },
+): WholeAnswer {
+  const kind = judge(head)
+  run.noteTry(upstream, OUTCOME_OF[kind], `${kind} ${head.status}`)
+  if (kind === 'not-run') run.noteRefusal(head)
+  else run.mayHaveRun = true
+  return { kind, head, body }
+}
+
+/** Statuses by which a caller is told that its request has not run. */
+const PROMISES_NOT_RUN = new Set([408, 421, 429, 503])
+
+type AnswerKind = 'answer' | 'failure' | 'not-run' | 'spoiled'
+
+const OUTCOME_OF = {
+  answer: 'good',
+  failure: 'failed',
+  'not-run': 'shed',
+  spoiled: 'failed',
+} as const
+
+const FIRST_SERVER_ERROR = 500
+
+function judge({ status, fields }: AnswerHead): AnswerKind {
+  if (fields.isNotRun) return 'not-run'
+  if (!fields.isSigned || fields.isEncoded) return 'spoiled'
+  if (status >= FIRST_SERVER_ERROR || PROMISES_NOT_RUN.has(status)) return 'failure'
+  return 'answer'
+}
+
+/** A safe call that has not begun to answer by this share of its objective is sent elsewhere. */
+const PATIENCE_SHARE = 0.6
+
+function tryCall(run: ForwardedRequest, upstream: Upstream): Promise<CallOutcome> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let head: AnswerHead | undefined
+    const { clock, upstreams } = run.services
+    const exchange = run.send(
+      upstream,
+      {},
+      {
+        onHead(answer) {
+          head = answer
+          if (answer.fields.load !== undefined) upstreams.noteLoad(upstream, answer.fields.load)
+          return true
+        },
+        onChunk: chunk => void chunks.push(chunk),
+        onEnd: () => resolve({ type: 'answer', head: head!, body: Buffer.concat(chunks) }),
+        onFault: (fault, wasSent, detail) => resolve({ type: 'fault', fault, wasSent, detail }),
+      },
+    )
+    run.onOver(() => resolve({ type: 'over' }))
+    if (run.route.kind !== 'safe') return
+    clock.after(PATIENCE_SHARE * run.route.latencyObjective, () => {
+      if (head || !run.hasTry()) return
+      exchange.cancel()
+      resolve({ type: 'fault', fault: 'silent', wasSent: true, detail: 'no head in time' })
+    })
+  })
+}
--- /dev/null
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -0,0 +1,233 @@
+import { nextModel, type ExchangeOutcome } from '@yewkeel/decisions'
+import type { Upstream } from '../tasks/upstreamDirectory.js'
+import { EventRelay } from './eventRelay.js'
+import type { AnswerHead, ExchangeFault } from './exchangeWithUpstream.js'
+import type { ForwardedRequest } from './forwardedRequest.js'
+import type { WatchedStream } from './stallWatch.js'
+
+/** How one try at a stream ended. */
+type StreamOutcome =
+  | { type: 'complete' }
+  | { type: 'doubted'; confidence: number; next: string }
+  | { type: 'answer'; head: AnswerHead; body: Buffer }
+  | { type: 'fault'; fault: ExchangeFault; wasSent: boolean; detail: string }
+  | { type: 'over' }
+
+/** A silent upstream costs a stream its objective: it goes elsewhere at this share of the longest pause ... */
+const SILENT_UPSTREAM_SHARE = 0.55
+/** ... and at this one if the upstream still answers others. */
+const SILENT_STREAM_SHARE = 1.6
+/** Before the first event, shares of the latency objective. */
+const FIRST_SILENT_UPSTREAM_SHARE = 0.35
+const FIRST_SILENT_STREAM_SHARE = 0.8
+const DEFAULT_PAUSE = 1_000
+
+/** Forwards a request whose answer is a stream of events. */
+export async function forwardStream(run: ForwardedRequest): Promise<void> {
+  const relay = new EventRelay(run.answer)
+  const { models } = run.route
+  const isResumable = run.route.isResumable
+  let model = models[0]
+  let last: { head: AnswerHead; body: Buffer } | undefined
+  run.onDeadline(() => {
+    if (relay.hasStarted) breakOff(run, 'out of time')
+  })
+  while (run.takeTry()) {
+    const upstream = await run.findUpstream(affinityOf(run, model))
+    if (run.isOver) return
+    if (!upstream) break
+    const outcome = await tryStream(run, upstream, model, relay)
+    if (outcome.type === 'over') return
+    if (outcome.type === 'complete') {
+      run.answer.end()
+      run.finish('delivered', 200)
+      return
+    }
+    if (outcome.type === 'doubted') {
+      model = outcome.next
+      continue
+    }
+    last = outcome.type === 'answer' ? outcome : undefined
+    if (run.mayHaveRun && !isResumable) break
+  }
+  if (run.isOver) return
+  if (relay.hasStarted) return breakOff(run, 'the stream broke and could not go on elsewhere')
+  if (last && !last.head.fields.isNotRun && last.head.fields.isSigned && last.head.status === 500)
+    return run.deliver(last.head, last.body)
+  run.giveUp(run.mayHaveRun ? 'no answer began' : 'no upstream took the request')
+}
+
+/** Ends an answer that has begun, so that it does not look complete. */
+function breakOff(run: ForwardedRequest, reason: string): void {
+  run.answer.abort()
+  run.finish(reason, undefined)
+}
+
+/** Requests with the same shared parts of their prompts, for the same model, lie well together. */
+function affinityOf(run: ForwardedRequest, model: string | undefined): string | undefined {
+  const { promptParts, session } = run.admitted.fields
+  const shared = session === undefined ? promptParts.slice(0, -1) : promptParts
+  return shared.length === 0 ? undefined : `${model ?? ''} ${shared.join(' ')}`
+}
+
+function tryStream(
+  run: ForwardedRequest,
+  upstream: Upstream,
+  model: string | undefined,
+  relay: EventRelay,
+): Promise<StreamOutcome> {
+  return new Promise(resolve => {
+    new StreamTry(run, upstream, model, relay, resolve).start()
+  })
+}
+
+/** One run of a streamed answer at one upstream. */
+class StreamTry {
+  readonly #body: Buffer[] = []
+  #head: AnswerHead | undefined
+  #watched: WatchedStream | undefined
+  #firstEvent: number | undefined
+  readonly #startedAt: number
+
+  constructor(
+    private readonly run: ForwardedRequest,
+    private readonly upstream: Upstream,
+    private readonly model: string | undefined,
+    private readonly relay: EventRelay,
+    private readonly resolve: (outcome: StreamOutcome) => void,
+  ) {
+    this.#startedAt = run.services.clock.now()
+  }
+
+  start(): void {
+    const { run, upstream, model, relay } = this
+    relay.beginRun()
+    run.onOver(() => this.#settle({ type: 'over' }))
+    const lastEventId = relay.lastId ?? run.admitted.fields.lastEventId
+    const exchange = run.send(
+      upstream,
+      { ...(model !== undefined && { model }), ...(lastEventId !== undefined && { lastEventId }) },
+      {
+        onHead: head => this.#takeHead(head),
+        onChunk: chunk => this.#takeChunk(chunk),
+        onEnd: () => this.#takeEnd(),
+        onFault: (fault, wasSent, detail) => this.#fail(fault, wasSent, detail),
+      },
+    )
+    const { latencyObjective } = run.route
+    this.#watched = {
+      exchange,
+      silentUpstream: FIRST_SILENT_UPSTREAM_SHARE * latencyObjective,
+      silentStream: FIRST_SILENT_STREAM_SHARE * latencyObjective,
+      onStall: pause => this.#stall(pause),
+    }
+    run.services.stalls.add(this.#watched)
+  }
+
+  #takeHead(head: AnswerHead): boolean {
+    const { run, upstream, model } = this
+    this.#head = head
+    if (head.fields.load !== undefined) run.services.upstreams.noteLoad(upstream, head.fields.load)
+    if (!isStream(head)) return true
+    const next = this.#largerModel(head, model)
+    if (next === undefined) return true
+    run.mayHaveRun = true
+    run.noteTry(upstream, 'good', `confidence ${head.fields.confidence}`)
+    run.noteAnswer(upstream, model, true, this.#sinceStart())
+    this.#settle({ type: 'doubted', confidence: head.fields.confidence ?? 0, next })
+    return false
+  }
+
+  /** The model to ask instead, if this answer is doubtful and another can be asked. */
+  #largerModel(head: AnswerHead, model: string | undefined): string | undefined {
+    const { run, relay } = this
+    if (model === undefined || relay.hasStarted || !run.hasTry()) return undefined
+    const threshold = run.services.settings.confidenceThreshold
+    return nextModel(run.route.models, model, head.fields.confidence, { threshold })
+  }
+
+  #takeChunk(chunk: Buffer): void {
+    const head = this.#head!
+    if (!isStream(head)) {
+      this.#body.push(chunk)
+      return
+    }
+    this.#noteFirstEvent()
+    const isInOrder = this.relay.push(chunk, () => {
+      this.run.answer.start(head.status, this.run.services.dialect.writeAnswer(head.headers))
+    })
+    if (!isInOrder) this.#cancelAndFail('spoiled', 'an event was out of order')
+  }
+
+  #noteFirstEvent(): void {
+    if (this.#firstEvent !== undefined) return
+    this.#firstEvent = this.#sinceStart()
+    const pause = this.run.route.pauseObjective ?? DEFAULT_PAUSE
+    this.#watched!.silentUpstream = SILENT_UPSTREAM_SHARE * pause
+    this.#watched!.silentStream = SILENT_STREAM_SHARE * pause
+  }
+
+  #takeEnd(): void {
+    const { run, upstream, model, relay } = this
+    const head = this.#head!
+    if (!isStream(head)) return this.#takeWhole(head)
+    run.mayHaveRun = true
+    if (relay.hasRest || !relay.hasStarted) return this.#fail('spoiled', true, 'it ended early')
+    run.noteTry(upstream, 'good', 'complete')
+    run.noteAnswer(upstream, model, true, this.#firstEvent)
+    this.#settle({ type: 'complete' })
+  }
+
+  /** An answer that is no stream: a refusal or a failure. */
+  #takeWhole(head: AnswerHead): void {
+    const { run, upstream, model } = this
+    const { isNotRun } = head.fields
+    const outcome: ExchangeOutcome = isNotRun ? 'shed' : 'failed'
+    run.noteTry(upstream, outcome, `status ${head.status}`)
+    if (isNotRun) {
+      run.noteRefusal(head)
+    } else {
+      run.mayHaveRun = true
+      run.noteAnswer(upstream, model, false, undefined)
+    }
+    this.#settle({ type: 'answer', head, body: Buffer.concat(this.#body) })
+  }
+
+  #fail(fault: ExchangeFault, wasSent: boolean, detail: string): void {
+    const { run, upstream, model } = this
+    run.noteTry(upstream, 'lost', `${fault}: ${detail}`)
+    if (wasSent) {
+      run.mayHaveRun = true
+      run.noteAnswer(upstream, model, false, undefined)
+    } else {
+      run.takeBackSend()
+    }
+    this.#settle({ type: 'fault', fault, wasSent, detail })
+  }
+
+  #cancelAndFail(fault: ExchangeFault, detail: string): void {
+    this.#watched?.exchange.cancel()
+    this.#fail(fault, true, detail)
+  }
+
+  /** Moves a stalled stream elsewhere, if that may be done. */
+  #stall(pause: number): boolean {
+    const { run } = this
+    if (!run.route.isResumable || !run.hasTry()) return false
+    this.#cancelAndFail('silent', `nothing came for ${Math.round(pause)} ms`)
+    return true
+  }
+
+  #sinceStart(): number {
+    return this.run.services.clock.now() - this.#startedAt
+  }
+
+  #settle(outcome: StreamOutcome): void {
+    if (this.#watched) this.run.services.stalls.remove(this.#watched)
+    this.resolve(outcome)
+  }
+}
+
+function isStream({ status, fields }: AnswerHead): boolean {
+  return status >= 200 && status < 300 && fields.isSigned && !fields.isEncoded
+}
--- /dev/null
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -0,0 +1,272 @@
+import {
+  hasRetry,
+  noteRequest,
+  takeRetry,
+  type ExchangeOutcome,
+  type Milliseconds,
+} from '@yewkeel/decisions'
+import type { GatewayServices } from '../types/services.js'
+import type { CallerAnswer, OutgoingFields } from '../types/ports.js'
+import type { Upstream } from '../tasks/upstreamDirectory.js'
+import type { AdmittedRequest } from './admitCaller.js'
+import {
+  exchangeWithUpstream,
+  type AnswerHead,
+  type ExchangeHandler,
+  type RunningExchange,
+} from './exchangeWithUpstream.js'
+
+/** One try at an upstream, for the log. */
+interface TryRecord {
+  upstream: string
+  version: string
+  model?: string
+  /** When it began and ended, counted from the request's arrival. */
+  from: Milliseconds
+  to?: Milliseconds
+  outcome?: string
+}
+
+/** Time that is kept back for the way to the upstream and back. */
+const TIME_KEPT_BACK: Milliseconds = 8
+/** How long a request waits for an upstream with room, as a share of its latency objective. */
+const WAIT_SHARE = 0.2
+/** When a refused caller is told to come back, if no upstream said more. */
+const COME_BACK_AFTER: Milliseconds = 300
+
+/**
+ * A request on its way: which upstreams it was sent to, whether it may have run, and its one final answer.
+ */
+export class ForwardedRequest {
+  /** Upstreams that are not tried again. */
+  readonly tried: string[] = []
+  /** How many upstreams the request was sent to. */
+  sends = 0
+  /** Some upstream may have run it, so no answer may say that it did not run. */
+  mayHaveRun = false
+  isOver = false
+  readonly records: TryRecord[] = []
+  /** Versions that the request may run on: drawn once, so that all of its tries agree. */
+  readonly admits: (version: string) => boolean
+  #exchange: RunningExchange | undefined
+  #retryAfter: Milliseconds | undefined
+  readonly #timer: { cancel(): void }
+  #onOver: (() => void) | undefined
+
+  constructor(
+    readonly services: GatewayServices,
+    readonly admitted: AdmittedRequest,
+    readonly answer: CallerAnswer,
+  ) {
+    const { clock, rollouts, retries } = services
+    this.admits = rollouts.admission(admitted.service, admitted.fields.session)
+    noteRequest(retries, clock.now())
+    this.#timer = clock.after(admitted.deadline - clock.now(), () => this.#runOutOfTime())
+    answer.onGone(() => this.finish('caller-left', undefined))
+  }
+
+  get route() {
+    return this.admitted.route
+  }
+
+  get timeLeft(): Milliseconds {
+    return this.admitted.deadline - this.services.clock.now()
+  }
+
+  /** Called once when the request is over, whoever ended it. */
+  onOver(callback: () => void): void {
+    this.#onOver = callback
+  }
+
+  /** Whether one more upstream could be sent the request now. The first is free. */
+  hasTry(): boolean {
+    const { services, route } = this
+    if (this.isOver || this.sends >= route.maxAttempts) return false
+    if (this.timeLeft < TIME_KEPT_BACK * 2) return false
+    return this.sends === 0 || hasRetry(services.retries, services.boxCount(), services.clock.now())
+  }
+
+  /** Takes the right to send the request to one more upstream. */
+  takeTry(): boolean {
+    if (!this.hasTry()) return false
+    if (this.sends === 0) return true
+    const { clock, retries, boxCount, metrics } = this.services
+    metrics.count('retries', 'sent')
+    return takeRetry(retries, boxCount(), clock.now())
+  }
+
+  /** An upstream that takes the request now, or within a short wait. */
+  async findUpstream(affinityKey: string | undefined): Promise<Upstream | undefined> {
+    const { clock, upstreams, channelLimit } = this.services
+    const until = clock.now() + WAIT_SHARE * this.route.latencyObjective
+    const query = {
+      service: this.admitted.service,
+      admits: this.admits,
+      tried: this.tried,
+      ...(affinityKey !== undefined && { affinityKey }),
+      channelLimit: channelLimit(this.admitted.service),
+    }
+    for (;;) {
+      const found = upstreams.pick(query)
+      if (found || this.isOver || clock.now() >= until) return found
+      await new Promise<void>(resolve => clock.after(LOOK_AGAIN, resolve))
+    }
+  }
+
+  /** Sends the request to an upstream. */
+  send(
+    upstream: Upstream,
+    fields: { model?: string; lastEventId?: string },
+    handler: ExchangeHandler,
+  ): RunningExchange {
+    const { clock, dialect } = this.services
+    const { request, organisation, route } = this.admitted
+    const outgoing: OutgoingFields = {
+      timeLeft: Math.max(1, Math.floor(this.timeLeft - TIME_KEPT_BACK)),
+      upstreamId: upstream.listed.id,
+      ...(organisation && { organisation: organisation.name }),
+      ...fields,
+      urgency: urgencyOf(organisation?.priority ?? 0, route.priority),
+    }
+    this.tried.push(upstream.listed.id)
+    this.sends++
+    const { id, version } = upstream.listed
+    const at = clock.now()
+    this.records.push({
+      upstream: id,
+      version,
+      ...(fields.model !== undefined && { model: fields.model }),
+      from: Math.round(at - request.receivedAt),
+    })
+    const exchange = exchangeWithUpstream(
+      upstream,
+      {
+        method: request.method,
+        target: request.target,
+        headers: dialect.writeRequest(request.headers, outgoing),
+        body: request.body,
+        onFreshChannel: route.kind === 'unsafe',
+      },
+      this.admitted.fields.id,
+      dialect,
+      () => clock.now(),
+      handler,
+    )
+    this.#exchange = exchange
+    return exchange
+  }
+
+  /** The last try never reached its upstream, so it does not count. */
+  takeBackSend(): void {
+    this.sends--
+  }
+
+  /** Notes how a try ended, for the log and for the upstream's health. */
+  noteTry(upstream: Upstream, outcome: ExchangeOutcome | undefined, detail: string): void {
+    const record = this.records.at(-1)
+    if (record) {
+      record.to = Math.round(this.services.clock.now() - this.admitted.request.receivedAt)
+      record.outcome = detail
+    }
+    if (outcome) this.services.upstreams.noteOutcome(upstream, outcome)
+  }
+
+  /** Counts an answer for or against its version. */
+  noteAnswer(
+    upstream: Upstream,
+    model: string | undefined,
+    isGood: boolean,
+    firstEvent: Milliseconds | undefined,
+  ): void {
+    const { service, version } = upstream.listed
+    const key = { service, version, route: this.route.name, model: model ?? '' }
+    this.services.rollouts.noteAnswer(key, isGood, firstEvent)
+  }
+
+  noteRefusal(head: AnswerHead): void {
+    const { retryAfter } = head.fields
+    if (retryAfter !== undefined) this.#retryAfter = retryAfter * 1_000
+  }
+
+  /** Passes an upstream's whole answer on as it came. */
+  deliver(head: AnswerHead, body: Buffer): void {
+    if (this.isOver) return
+    const headers = this.services.dialect.writeAnswer(head.headers)
+    headers.push('content-length', String(body.length))
+    this.answer.start(head.status, headers)
+    this.answer.end(body)
+    this.finish('delivered', head.status)
+  }
+
+  /** The one answer of our own: whether the request can have run decides its status. */
+  giveUp(reason: string): void {
+    if (this.isOver) return
+    const isLate = this.timeLeft <= 0
+    const status = !this.mayHaveRun ? 503 : isLate ? 504 : 502
+    const retryAfter = this.mayHaveRun ? undefined : (this.#retryAfter ?? COME_BACK_AFTER)
+    const headers = this.services.dialect.writeRefusal(this.admitted.fields.id, retryAfter)
+    this.answer.start(status, headers)
+    this.answer.end(reason)
+    this.finish(reason, status)
+  }
+
+  /** Ends the request: what is under way for it stops, and nothing more is written. */
+  finish(outcome: string, status: number | undefined): void {
+    if (this.isOver) return
+    this.isOver = true
+    this.#timer.cancel()
+    this.#exchange?.cancel()
+    this.#log(outcome, status)
+    this.#onOver?.()
+  }
+
+  #runOutOfTime(): void {
+    if (this.isOver) return
+    this.#onDeadline?.()
+    if (!this.isOver) this.giveUp('out of time')
+  }
+
+  #onDeadline: (() => void) | undefined
+
+  /** Called when time runs out, before the request is given up. */
+  onDeadline(callback: () => void): void {
+    this.#onDeadline = callback
+  }
+
+  #log(outcome: string, status: number | undefined): void {
+    const { services, admitted, records, sends } = this
+    const { request, fields, route, organisation } = admitted
+    const duration = services.clock.now() - request.receivedAt
+    const isFailure = outcome !== 'delivered'
+    services.metrics.observe(route.name, outcome, duration)
+    services.log.request(
+      {
+        id: fields.id,
+        route: route.name,
+        service: admitted.service,
+        organisation: organisation?.name,
+        outcome,
+        status,
+        duration: Math.round(duration),
+        timeLeft: Math.round(this.timeLeft),
+        configuration: services.operators.index?.configuration.revision,
+        configurationAge: Math.round(services.operators.age),
+        tries: records,
+        sends,
+      },
+      isFailure,
+    )
+  }
+}
+
+const LOOK_AGAIN: Milliseconds = 12
+const LEAST_URGENT = 9
+const ROUTE_PRIORITIES = 3
+
+/** An organisation's priority counts before that of the route. */
+function urgencyOf(organisation: number, route: number): number {
+  return Math.min(
+    LEAST_URGENT,
+    organisation * ROUTE_PRIORITIES + Math.min(route, ROUTE_PRIORITIES - 1),
+  )
+}
--- /dev/null
+++ b/packages/gateway/src/requests/stallWatch.ts
@@ -0,0 +1,48 @@
+import type { Clock, Milliseconds } from '@yewkeel/decisions'
+import type { RunningExchange } from './exchangeWithUpstream.js'
+
+/** A streamed answer under way, and how long its upstream may say nothing. */
+export interface WatchedStream {
+  exchange: RunningExchange
+  /** A pause after which the stream is taken to have stalled, if the upstream says nothing to anybody. */
+  silentUpstream: Milliseconds
+  /** A pause after which it has stalled whatever the upstream says to others. */
+  silentStream: Milliseconds
+  /** True if something came of it; the stream is then watched no more. */
+  onStall(pause: Milliseconds): boolean
+}
+
+const LOOK_EVERY: Milliseconds = 100
+
+/** Finds streams whose upstream has fallen silent. One timer serves all of them. */
+export class StallWatch {
+  readonly #streams = new Set<WatchedStream>()
+
+  constructor(private readonly clock: Clock) {}
+
+  start(): void {
+    this.clock.after(LOOK_EVERY, () => {
+      this.look()
+      this.start()
+    })
+  }
+
+  add(stream: WatchedStream): void {
+    this.#streams.add(stream)
+  }
+
+  remove(stream: WatchedStream): void {
+    this.#streams.delete(stream)
+  }
+
+  look(): void {
+    const now = this.clock.now()
+    for (const stream of this.#streams) {
+      const { exchange, silentStream, silentUpstream } = stream
+      const pause = now - exchange.lastBytesAt
+      const upstreamPause = Math.min(pause, now - exchange.upstream.health.lastHeardAt)
+      if (pause < silentStream && upstreamPause < silentUpstream) continue
+      if (stream.onStall(pause)) this.#streams.delete(stream)
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -0,0 +1,210 @@
+import {
+  createExchangeHealth,
+  createUpstreamListState,
+  hashText,
+  isEjected,
+  noteExchange,
+  noteListOutage,
+  pickUpstream,
+  takeUpstreamList,
+  type Clock,
+  type ExchangeHealth,
+  type ExchangeOutcome,
+  type ListedUpstream,
+  type Milliseconds,
+  type Random,
+  type UpstreamCandidate,
+} from '@yewkeel/decisions'
+import { UpstreamChannels } from '../node/upstreamChannels.js'
+import type { EventLog, GatewayMetrics } from '../types/ports.js'
+
+/** An upstream that requests may be sent to. */
+export interface Upstream extends UpstreamCandidate {
+  channels: UpstreamChannels
+  health: ExchangeHealth
+  /** This box's own exchanges under way. */
+  inFlight: number
+  /** What the upstream last told of its load, and how much of that was ours. */
+  told?: { load: number; own: number; at: Milliseconds }
+}
+
+export interface PickQuery {
+  service: string
+  /** Versions that the request may run on. */
+  admits(version: string): boolean
+  /** Ids that the request has been sent to. */
+  tried: readonly string[]
+  affinityKey?: string
+  /** Connections that one upstream takes from this box. */
+  channelLimit: number
+}
+
+/** What an upstream told of its load says little after this. */
+const TOLD_LOAD_LIFETIME: Milliseconds = 1_500
+
+export interface UpstreamDirectoryOptions {
+  clock: Clock
+  random: Random
+  dataCentre: string
+  log: EventLog
+  metrics: GatewayMetrics
+}
+
+/** The upstreams of the platform's list with what this box knows of each. */
+export class UpstreamDirectory {
+  readonly #list = createUpstreamListState()
+  readonly #upstreams = new Map<string, Upstream>()
+  #fingerprint = 0
+
+  constructor(private readonly options: UpstreamDirectoryOptions) {}
+
+  /** Names the present content of the list: equal for equal lists. */
+  get fingerprint(): number {
+    return this.#fingerprint
+  }
+
+  get entries(): ListedUpstream[] {
+    return [...this.#list.entries.values()]
+  }
+
+  noteOutage(): void {
+    noteListOutage(this.#list)
+  }
+
+  /** Takes a whole list. True when it differs from the last one. */
+  take(listed: readonly ListedUpstream[]): boolean {
+    const now = this.options.clock.now()
+    const gone = takeUpstreamList(this.#list, listed, now)
+    for (const id of gone) this.#forget(id)
+    for (const entry of this.#list.entries.values()) this.#keep(entry, now)
+    const before = this.#fingerprint
+    this.#fingerprint = fingerprintOf(this.entries)
+    return before !== this.#fingerprint
+  }
+
+  pick(query: PickQuery): Upstream | undefined {
+    const { random, dataCentre, clock } = this.options
+    const now = clock.now()
+    const candidates: Upstream[] = []
+    for (const upstream of this.#upstreams.values()) {
+      if (!isCandidate(upstream, query)) continue
+      upstream.load = loadOf(upstream, now)
+      upstream.isEjected = isEjected(upstream.health, now)
+      candidates.push(upstream)
+    }
+    const { affinityKey } = query
+    return pickUpstream(candidates, {
+      random,
+      dataCentre,
+      ...(affinityKey !== undefined && { affinityKey }),
+    })
+  }
+
+  /** Versions of a service that some upstream serves and takes requests for. */
+  readyVersions(service: string): Map<string, number> {
+    const versions = new Map<string, number>()
+    for (const { listed } of this.#upstreams.values()) {
+      if (listed.service !== service || listed.state !== 'ready') continue
+      versions.set(listed.version, (versions.get(listed.version) ?? 0) + 1)
+    }
+    return versions
+  }
+
+  /** This box's exchanges under way by `service version`. */
+  inFlight(): [string, number][] {
+    const counts = new Map<string, number>()
+    for (const { listed, inFlight } of this.#upstreams.values()) {
+      if (inFlight === 0) continue
+      const key = `${listed.service} ${listed.version}`
+      counts.set(key, (counts.get(key) ?? 0) + inFlight)
+    }
+    return [...counts]
+  }
+
+  noteLoad(upstream: Upstream, load: number): void {
+    upstream.told = { load, own: upstream.inFlight, at: this.options.clock.now() }
+  }
+
+  noteOutcome(upstream: Upstream, outcome: ExchangeOutcome): void {
+    const { clock, log, metrics } = this.options
+    metrics.count('exchanges', outcome)
+    const others = this.#othersBadShare(upstream)
+    if (!noteExchange(upstream.health, outcome, others, clock.now())) return
+    metrics.count('ejections', upstream.listed.service)
+    const { id, service, address } = upstream.listed
+    const { badShare, samples, ejections } = upstream.health
+    log.note('upstream-ejected', {
+      upstream: id,
+      service,
+      address,
+      outcome,
+      badShare,
+      samples,
+      ejections,
+      others,
+    })
+  }
+
+  #othersBadShare(upstream: Upstream): number {
+    let sum = 0
+    let count = 0
+    for (const other of this.#upstreams.values()) {
+      if (other === upstream || other.listed.service !== upstream.listed.service) continue
+      sum += other.health.badShare
+      count++
+    }
+    return count === 0 ? 0 : sum / count
+  }
+
+  #keep(entry: ListedUpstream, now: Milliseconds): void {
+    const known = this.#upstreams.get(entry.id)
+    if (!known) {
+      const channels = new UpstreamChannels(entry.address)
+      const health = createExchangeHealth(now)
+      this.#upstreams.set(entry.id, {
+        listed: entry,
+        channels,
+        health,
+        inFlight: 0,
+        load: 0,
+        isEjected: false,
+      })
+      this.options.log.note('upstream-listed', { ...entry })
+      return
+    }
+    if (known.listed.state !== entry.state) {
+      this.options.log.note('upstream-state', { upstream: entry.id, state: entry.state })
+      if (entry.state === 'draining') known.channels.retire()
+    }
+    known.listed = entry
+  }
+
+  #forget(id: string): void {
+    const known = this.#upstreams.get(id)
+    if (!known) return
+    known.channels.retire()
+    this.#upstreams.delete(id)
+    this.options.log.note('upstream-gone', { upstream: id, service: known.listed.service })
+  }
+}
+
+function isCandidate(upstream: Upstream, query: PickQuery): boolean {
+  const { listed, channels } = upstream
+  return (
+    listed.service === query.service &&
+    listed.state === 'ready' &&
+    query.admits(listed.version) &&
+    !query.tried.includes(listed.id) &&
+    (channels.idle > 0 || channels.open < query.channelLimit)
+  )
+}
+
+function loadOf({ inFlight, told }: Upstream, now: Milliseconds): number {
+  if (!told || now - told.at > TOLD_LOAD_LIFETIME) return inFlight
+  return inFlight + Math.max(0, told.load - told.own)
+}
+
+function fingerprintOf(entries: readonly ListedUpstream[]): number {
+  const parts = entries.map(({ id, state, address }) => `${id} ${state} ${address}`).sort()
+  return hashText(parts.join('\n'))
+}
--- /dev/null
+++ b/packages/gateway/src/types/services.ts
@@ -0,0 +1,26 @@
+import type { Clock, Random, RetryShare } from '@yewkeel/decisions'
+import type { OperatorTask } from '../tasks/operatorTask.js'
+import type { RolloutTask } from '../tasks/rolloutTask.js'
+import type { UpstreamDirectory } from '../tasks/upstreamDirectory.js'
+import type { StallWatch } from '../requests/stallWatch.js'
+import type { Dialect, EventLog, GatewayMetrics } from './ports.js'
+import type { GatewaySettings } from './settings.js'
+
+/** What requests are handled with. */
+export interface GatewayServices {
+  settings: GatewaySettings
+  clock: Clock
+  random: Random
+  log: EventLog
+  metrics: GatewayMetrics
+  dialect: Dialect
+  operators: OperatorTask
+  upstreams: UpstreamDirectory
+  rollouts: RolloutTask
+  retries: RetryShare
+  stalls: StallWatch
+  /** Boxes that share the budgets. */
+  boxCount(): number
+  /** Connections that one upstream of a service takes from this box. */
+  channelLimit(service: string): number
+}
