Engines in two lanes; boxes tell each other what engines have still to read

Change: prompts are costed by a learned reading rate; engines are dealt to a light and a heavy lane by hash; a request goes where it is read soonest; boxes tell each other their unread work 15 ms after a change.

--- a/packages/decisions/src/listing/pickUpstream.ts
+++ b/packages/decisions/src/listing/pickUpstream.ts
@@ -1,4 +1,5 @@
-import { hashText } from '../utils/rendezvousHash.js'
+import { rankByRendezvous } from '../utils/rendezvousHash.js'
+import type { Milliseconds } from '../types/clock.js'
 import type { Random } from '../types/random.js'
 import type { ListedUpstream } from './upstreamList.js'
 
@@ -7,24 +8,39 @@
   listed: ListedUpstream
   /** Requests under way there: this box's own, and what the upstream told of others'. */
   load: number
+  /** Time that it still reads prompts for, by what all boxes have sent it. */
+  waiting: Milliseconds
   /** Ejected upstreams are taken only when there is no other. */
   isEjected: boolean
 }
 
+/** What a prompt costs an engine. */
+export interface PromptWork {
+  model: string
+  /** Reading all of it. */
+  whole: Milliseconds
+  /** Reading the parts that other requests share. */
+  shared: Milliseconds
+  /** Names the shared parts for the model; undefined when there are none. */
+  homeKey?: string
+}
+
 export interface PickOptions {
-  /** Requests that share it are sent to the same upstream while that one is not too busy. */
-  affinityKey?: string
   dataCentre: string
   random: Random
+  prompt?: PromptWork
 }
 
-/** An upstream keeps its shared prompts until its load is this far above the mean of its service. */
-const HOME_FACTOR = 1.35
-const HOME_SLACK = 3
 /** Share of its slots that a nearer upstream may be busier by: what a hop between data centres costs. */
 const NEAR_BONUS = 0.12
+/** What one more stream beside adds to the time until an answer begins. */
+const STREAM_COST: Milliseconds = 1.5
+/** A hop between data centres and back. */
+const FAR_COST: Milliseconds = 4
+/** Costs this close are equal: chance decides, so that boxes do not all choose the same. */
+const TIE: Milliseconds = 4
 
-/** Picks an upstream by the home of the shared prompt, or by the lesser load of two drawn at random. */
+/** Picks an upstream: by the time until a prompt is read, or by the lesser load of some drawn at random. */
 export function pickUpstream<T extends UpstreamCandidate>(
   candidates: readonly T[],
   options: PickOptions,
@@ -32,22 +48,33 @@
   const healthy = candidates.filter(candidate => !candidate.isEjected)
   const usable = healthy.length > 0 ? healthy : candidates
   if (usable.length <= 1) return usable[0]
-  const home = options.affinityKey !== undefined && pickHome(usable, options.affinityKey)
-  return home || pickLessLoaded(usable, options)
+  const { prompt } = options
+  return prompt ? pickSoonest(usable, prompt, options) : pickLessLoaded(usable, options)
 }
 
-/** The first or second home of a key, if either has room. */
-function pickHome<T extends UpstreamCandidate>(
+function pickSoonest<T extends UpstreamCandidate>(
   candidates: readonly T[],
-  key: string,
-): T | undefined {
-  const seed = hashText(key)
-  const ranked = candidates
-    .map(candidate => ({ candidate, score: hashText(candidate.listed.id, seed) }))
-    .sort((left, right) => right.score - left.score)
-  const total = candidates.reduce((sum, candidate) => sum + candidate.load, 0)
-  const limit = HOME_FACTOR * (total / candidates.length) + HOME_SLACK
-  return ranked.slice(0, 2).find(({ candidate }) => candidate.load <= limit)?.candidate
+  { whole, shared, homeKey }: PromptWork,
+  { dataCentre, random }: PickOptions,
+): T {
+  const home =
+    homeKey === undefined
+      ? undefined
+      : rankByRendezvous(homeKey, candidates, candidate => candidate.listed.id, 1)[0]
+  let best = candidates[0]!
+  let least = Infinity
+  for (const candidate of candidates) {
+    const cost =
+      candidate.waiting +
+      STREAM_COST * candidate.load +
+      (candidate === home ? whole - shared : whole) +
+      (candidate.listed.dataCentre === dataCentre ? 0 : FAR_COST) +
+      TIE * random()
+    if (cost >= least) continue
+    best = candidate
+    least = cost
+  }
+  return best
 }
 
 function pickLessLoaded<T extends UpstreamCandidate>(
--- /dev/null
+++ b/packages/decisions/src/listing/workEstimates.ts
@@ -0,0 +1,51 @@
+import type { Milliseconds } from '../types/clock.js'
+
+/**
+ * How long an engine reads prompts, learned for each model from how soon answers begin. Engines read prompts one
+ * after the other and hold up the tokens of whatever runs beside, so this time, and not the number of requests,
+ * is the load that matters.
+ */
+export interface WorkEstimates {
+  models: Map<string, ModelRate>
+}
+
+interface ModelRate {
+  /** Milliseconds for 1,000 tokens of a prompt when nothing waits before it. */
+  rate: Milliseconds
+}
+
+/** Before anything is learned: an engine of today reads some 60 tokens in a millisecond for a model of middle size. */
+const FIRST_RATE: Milliseconds = 16
+/** Shorter prompts say more of the network than of the engine. */
+const LEAST_TOKENS = 600
+/** The rate follows the faster answers, which did not wait: a slower one moves it little, a faster one at once. */
+const DOWNWARD_WEIGHT = 0.25
+const UPWARD_WEIGHT = 0.03
+
+export function createWorkEstimates(): WorkEstimates {
+  return { models: new Map() }
+}
+
+/** How long the engine reads so many tokens. */
+export function workOf(estimates: WorkEstimates, model: string, tokens: number): Milliseconds {
+  const rate = estimates.models.get(model)?.rate ?? FIRST_RATE
+  return (rate * tokens) / 1_000
+}
+
+/** An answer to a prompt of so many unread tokens began after `took`. */
+export function noteFirstEvent(
+  estimates: WorkEstimates,
+  model: string,
+  tokens: number,
+  took: Milliseconds,
+): void {
+  if (tokens < LEAST_TOKENS) return
+  const sample = (took * 1_000) / tokens
+  const known = estimates.models.get(model)
+  if (!known) {
+    estimates.models.set(model, { rate: Math.min(sample, 4 * FIRST_RATE) })
+    return
+  }
+  const weight = sample < known.rate ? DOWNWARD_WEIGHT : UPWARD_WEIGHT
+  known.rate += weight * (Math.min(sample, 4 * known.rate) - known.rate)
+}
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -11,6 +11,7 @@
 import { ForwardedRequest } from './requests/forwardedRequest.js'
 import { forwardStream } from './requests/forwardStream.js'
 import { StallWatch } from './requests/stallWatch.js'
+import { EngineWork } from './tasks/engineWork.js'
 import { OperatorTask } from './tasks/operatorTask.js'
 import { PeerTask } from './tasks/peerTask.js'
 import { RolloutTask } from './tasks/rolloutTask.js'
@@ -94,12 +95,17 @@
       options.onConfiguration(next)
     },
   })
+  const work: EngineWork = new EngineWork({
+    clock,
+    tell: entries => peers.push({ type: 'work', entries }),
+  })
   const upstreams: UpstreamDirectory = new UpstreamDirectory({
     clock,
     random,
     dataCentre: settings.dataCentre,
     log,
     metrics,
+    work,
   })
   const rollouts: RolloutTask = new RolloutTask({
     clock,
@@ -139,6 +145,7 @@
         upstreams: { revision: upstreams.fingerprint, age: reader.listAge },
       }),
       rollouts: rollouts.statuses,
+      work: work.own(),
       ...(rollouts.storeNow !== undefined && { storeNow: rollouts.storeNow }),
     }),
     onOperatorsProved(revision, provedAt) {
@@ -154,6 +161,7 @@
     onOperators: next => void operators.take(next),
     onUpstreams: (_fingerprint, entries) => void upstreams.take(entries),
     onRollouts: statuses => rollouts.takeStatuses(statuses),
+    onWork: (box, entries) => work.takePeerWork(box, entries),
     onStoreClock: (storeNow, at) => rollouts.noteStoreClock(storeNow, at),
     currentOperators: () => operators.state,
     currentUpstreams,
@@ -178,6 +186,7 @@
     operators,
     upstreams,
     rollouts,
+    work,
     retries: createRetryShare(settings.retries),
     stalls: new StallWatch(clock),
     boxCount: () => peers.live().length + 1,
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -63,7 +63,6 @@
     log: peerLog(log),
     largestBacklog: GOSSIP_BACKLOG,
   })
-  let entry: EntryServer | undefined
   const gateway = createGateway({
     ...options,
     identity,
@@ -72,10 +71,10 @@
     onConfiguration({ configuration }) {
       if (!configuration) return
       const { headerTimeout, idleTimeout } = configuration.limits
-      entry?.setTimeouts(headerTimeout, idleTimeout)
+      entry.setTimeouts(headerTimeout, idleTimeout)
     },
   })
-  entry = await startEntryServer({
+  const entry = await startEntryServer({
     listen: settings.listen.entry,
     clock,
     bodyBytes: () =>
--- a/packages/gateway/src/requests/forwardCall.ts
+++ b/packages/gateway/src/requests/forwardCall.ts
@@ -25,7 +25,7 @@
 export async function forwardCall(run: ForwardedRequest): Promise<void> {
   let last: WholeAnswer | undefined
   while (run.takeTry()) {
-    const upstream = await run.findUpstream(undefined)
+    const upstream = await run.findUpstream()
     if (run.isOver) return
     if (!upstream) break
     const outcome = await tryCall(run, upstream)
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -1,4 +1,4 @@
-import { nextModel, type ExchangeOutcome } from '@yewkeel/decisions'
+import { nextModel, type ExchangeOutcome, type PromptWork } from '@yewkeel/decisions'
 import type { Upstream } from '../tasks/upstreamDirectory.js'
 import { EventRelay } from './eventRelay.js'
 import type { AnswerHead, ExchangeFault } from './exchangeWithUpstream.js'
@@ -14,12 +14,12 @@
   | { type: 'over' }
 
 /** A silent upstream costs a stream its objective: it goes elsewhere at this share of the longest pause ... */
-const SILENT_UPSTREAM_SHARE = 0.55
+const SILENT_UPSTREAM_SHARE = 0.65
 /** ... and at this one if the upstream still answers others. */
-const SILENT_STREAM_SHARE = 1.6
+const SILENT_STREAM_SHARE = 2.5
 /** Before the first event, shares of the latency objective. */
-const FIRST_SILENT_UPSTREAM_SHARE = 0.35
-const FIRST_SILENT_STREAM_SHARE = 0.8
+const FIRST_SILENT_UPSTREAM_SHARE = 100
+const FIRST_SILENT_STREAM_SHARE = 100
 const DEFAULT_PAUSE = 1_000
 
 /** Forwards a request whose answer is a stream of events. */
@@ -33,10 +33,11 @@
     if (relay.hasStarted) breakOff(run, 'out of time')
   })
   while (run.takeTry()) {
-    const upstream = await run.findUpstream(affinityOf(run, model))
+    const prompt = run.services.work.promptWork(run.admitted.fields, model ?? '')
+    const upstream = await run.findUpstream(prompt)
     if (run.isOver) return
     if (!upstream) break
-    const outcome = await tryStream(run, upstream, model, relay)
+    const outcome = await tryStream(run, upstream, prompt, relay)
     if (outcome.type === 'over') return
     if (outcome.type === 'complete') {
       run.answer.end()
@@ -63,21 +64,14 @@
   run.finish(reason, undefined)
 }
 
-/** Requests with the same shared parts of their prompts, for the same model, lie well together. */
-function affinityOf(run: ForwardedRequest, model: string | undefined): string | undefined {
-  const { promptParts, session } = run.admitted.fields
-  const shared = session === undefined ? promptParts.slice(0, -1) : promptParts
-  return shared.length === 0 ? undefined : `${model ?? ''} ${shared.join(' ')}`
-}
-
 function tryStream(
   run: ForwardedRequest,
   upstream: Upstream,
-  model: string | undefined,
+  prompt: PromptWork,
   relay: EventRelay,
 ): Promise<StreamOutcome> {
   return new Promise(resolve => {
-    new StreamTry(run, upstream, model, relay, resolve).start()
+    new StreamTry(run, upstream, prompt, relay, resolve).start()
   })
 }
 
@@ -87,21 +81,29 @@
   #head: AnswerHead | undefined
   #watched: WatchedStream | undefined
   #firstEvent: number | undefined
+  #endWork = () => {}
   readonly #startedAt: number
 
   constructor(
     private readonly run: ForwardedRequest,
     private readonly upstream: Upstream,
-    private readonly model: string | undefined,
+    private readonly prompt: PromptWork,
     private readonly relay: EventRelay,
     private readonly resolve: (outcome: StreamOutcome) => void,
   ) {
     this.#startedAt = run.services.clock.now()
   }
 
+  /** Undefined where the caller names the model. */
+  get #model(): string | undefined {
+    return this.prompt.model || undefined
+  }
+
   start(): void {
-    const { run, upstream, model, relay } = this
+    const { run, upstream, relay } = this
+    const model = this.#model
     relay.beginRun()
+    this.#endWork = run.services.work.begin(upstream.listed.id, this.prompt)
     run.onOver(() => this.#settle({ type: 'over' }))
     const lastEventId = relay.lastId ?? run.admitted.fields.lastEventId
     const exchange = run.send(
@@ -125,10 +127,14 @@
   }
 
   #takeHead(head: AnswerHead): boolean {
-    const { run, upstream, model } = this
+    const { run, upstream } = this
+    const model = this.#model
     this.#head = head
+    this.#endWork()
     if (head.fields.load !== undefined) run.services.upstreams.noteLoad(upstream, head.fields.load)
     if (!isStream(head)) return true
+    const { work } = run.services
+    work.learn(this.prompt.model, run.admitted.fields.promptTokens, this.#sinceStart())
     const next = this.#largerModel(head, model)
     if (next === undefined) return true
     run.mayHaveRun = true
@@ -168,7 +174,8 @@
   }
 
   #takeEnd(): void {
-    const { run, upstream, model, relay } = this
+    const { run, upstream, relay } = this
+    const model = this.#model
     const head = this.#head!
     if (!isStream(head)) return this.#takeWhole(head)
     run.mayHaveRun = true
@@ -180,7 +187,8 @@
 
   /** An answer that is no stream: a refusal or a failure. */
   #takeWhole(head: AnswerHead): void {
-    const { run, upstream, model } = this
+    const { run, upstream } = this
+    const model = this.#model
     const { isNotRun } = head.fields
     const outcome: ExchangeOutcome = isNotRun ? 'shed' : 'failed'
     run.noteTry(upstream, outcome, `status ${head.status}`)
@@ -194,8 +202,9 @@
   }
 
   #fail(fault: ExchangeFault, wasSent: boolean, detail: string): void {
-    const { run, upstream, model } = this
-    run.noteTry(upstream, 'lost', `${fault}: ${detail}`)
+    const { run, upstream } = this
+    const model = this.#model
+    run.noteTry(upstream, fault === 'silent' ? 'failed' : 'lost', `${fault}: ${detail}`)
     if (wasSent) {
       run.mayHaveRun = true
       run.noteAnswer(upstream, model, false, undefined)
@@ -223,6 +232,7 @@
   }
 
   #settle(outcome: StreamOutcome): void {
+    this.#endWork()
     if (this.#watched) this.run.services.stalls.remove(this.#watched)
     this.resolve(outcome)
   }
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -4,6 +4,7 @@
   takeRetry,
   type ExchangeOutcome,
   type Milliseconds,
+  type PromptWork,
 } from '@yewkeel/decisions'
 import type { GatewayServices } from '../types/services.js'
 import type { CallerAnswer, OutgoingFields } from '../types/ports.js'
@@ -96,14 +97,14 @@
   }
 
   /** An upstream that takes the request now, or within a short wait. */
-  async findUpstream(affinityKey: string | undefined): Promise<Upstream | undefined> {
+  async findUpstream(prompt?: PromptWork): Promise<Upstream | undefined> {
     const { clock, upstreams, channelLimit } = this.services
     const until = clock.now() + WAIT_SHARE * this.route.latencyObjective
     const query = {
       service: this.admitted.service,
       admits: this.admits,
       tried: this.tried,
-      ...(affinityKey !== undefined && { affinityKey }),
+      ...(prompt && { prompt }),
       channelLimit: channelLimit(this.admitted.service),
     }
     for (;;) {
--- /dev/null
+++ b/packages/gateway/src/tasks/engineWork.ts
@@ -0,0 +1,134 @@
+import {
+  createLaneShares,
+  createWorkEstimates,
+  dealLane,
+  laneOf,
+  noteFirstEvent,
+  noteWork,
+  workOf,
+  type Clock,
+  type Milliseconds,
+  type PromptWork,
+} from '@yewkeel/decisions'
+import type { RequestFields } from '../types/ports.js'
+
+/** Work of one box at one engine as others hear of it. */
+export type WorkEntry = [upstream: string, work: Milliseconds]
+
+export interface EngineWorkOptions {
+  clock: Clock
+  /** Tells the other boxes what has changed. */
+  tell(entries: WorkEntry[]): void
+}
+
+/** Changes are gathered for this long before they are told. */
+const TELL_AFTER: Milliseconds = 15
+/** Smaller changes are not worth a message. */
+const LEAST_CHANGE: Milliseconds = 8
+/** A peer's work that it did not tell of again is forgotten after this. */
+const WORK_LIFETIME: Milliseconds = 2_500
+
+interface PeerWork {
+  work: Milliseconds
+  heardAt: Milliseconds
+}
+
+/** The prompts that engines have still to read: this box's own and, by what they tell, those of others. */
+export class EngineWork {
+  readonly #estimates = createWorkEstimates()
+  readonly #shares = createLaneShares()
+  readonly #own = new Map<string, Milliseconds>()
+  readonly #told = new Map<string, Milliseconds>()
+  readonly #peers = new Map<string, Map<string, PeerWork>>()
+  #isTelling = false
+
+  constructor(private readonly options: EngineWorkOptions) {}
+
+  /** What a request's prompt costs with a model. */
+  promptWork(fields: RequestFields, model: string): PromptWork {
+    const { promptParts, promptTokens } = fields
+    const sharedParts = fields.session === undefined ? promptParts.slice(0, -1) : promptParts
+    const sharedTokens = sharedParts.reduce((sum, part) => sum + part.tokens, 0)
+    const ids = sharedParts.map(part => part.id).join(' ')
+    return {
+      model,
+      whole: workOf(this.#estimates, model, promptTokens),
+      shared: workOf(this.#estimates, model, sharedTokens),
+      ...(ids !== '' && { homeKey: `${model} ${ids}` }),
+    }
+  }
+
+  /** The engines among which a prompt is read. */
+  deal<T>(members: readonly T[], idOf: (member: T) => string, work: PromptWork): readonly T[] {
+    return dealLane(members, idOf, laneOf(work.whole), this.#shares)
+  }
+
+  /** Time that an engine still reads prompts for. */
+  waiting(upstream: string): Milliseconds {
+    const now = this.options.clock.now()
+    let sum = this.#own.get(upstream) ?? 0
+    for (const { work, heardAt } of this.#peers.get(upstream)?.values() ?? [])
+      if (now - heardAt < WORK_LIFETIME) sum += work
+    return sum
+  }
+
+  /** A prompt was sent. Call what is given once, when its answer begins or the exchange ends. */
+  begin(upstream: string, work: PromptWork): () => void {
+    noteWork(this.#shares, work.whole)
+    this.#add(upstream, work.whole)
+    let isOver = false
+    return () => {
+      if (isOver) return
+      isOver = true
+      this.#add(upstream, -work.whole)
+    }
+  }
+
+  /** An answer began: learns how fast the engine reads. */
+  learn(model: string, tokens: number, took: Milliseconds): void {
+    noteFirstEvent(this.#estimates, model, tokens, took)
+  }
+
+  takePeerWork(box: string, entries: readonly WorkEntry[]): void {
+    const heardAt = this.options.clock.now()
+    for (const [upstream, work] of entries) {
+      const known = this.#peers.get(upstream) ?? new Map<string, PeerWork>()
+      this.#peers.set(upstream, known)
+      if (work > 0) known.set(box, { work, heardAt })
+      else known.delete(box)
+    }
+  }
+
+  /** All of this box's work, for peers that may have missed a change. */
+  own(): WorkEntry[] {
+    return [...this.#own].map(([upstream, work]) => [upstream, Math.round(work)])
+  }
+
+  forget(upstream: string): void {
+    this.#peers.delete(upstream)
+    this.#told.delete(upstream)
+  }
+
+  #add(upstream: string, work: Milliseconds): void {
+    const next = (this.#own.get(upstream) ?? 0) + work
+    if (next < 0.5) this.#own.delete(upstream)
+    else this.#own.set(upstream, next)
+    const change = Math.abs(next - (this.#told.get(upstream) ?? 0))
+    if (this.#isTelling || change < LEAST_CHANGE) return
+    this.#isTelling = true
+    this.options.clock.after(TELL_AFTER, () => this.#tell())
+  }
+
+  #tell(): void {
+    this.#isTelling = false
+    const entries: WorkEntry[] = []
+    for (const upstream of new Set([...this.#own.keys(), ...this.#told.keys()])) {
+      const work = this.#own.get(upstream) ?? 0
+      if (Math.abs(work - (this.#told.get(upstream) ?? 0)) < LEAST_CHANGE) continue
+      entries.push([upstream, Math.round(work)])
+      if (work > 0) this.#told.set(upstream, work)
+      else this.#told.delete(upstream)
+    }
+    if (entries.length > 0) this.options.tell(entries)
+  }
+}
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -10,6 +10,7 @@
 } from '@yewkeel/decisions'
 import type { BoxReport, GatewayMessage, GatewayState, Gossip, ProofAge } from '../types/gossip.js'
 import type { BoxEntry, EventLog, OperatorState } from '../types/ports.js'
+import type { WorkEntry } from './engineWork.js'
 
 /** What a box says of itself and of the store. */
 export interface OwnReport {
@@ -19,6 +20,7 @@
   operators?: ProofAge
   upstreams?: ProofAge
   rollouts: RolloutStatus[]
+  work: WorkEntry[]
   storeNow?: Milliseconds
 }
 
@@ -34,6 +36,7 @@
   onOperators(state: OperatorState): void
   onUpstreams(fingerprint: number, entries: ListedUpstream[]): void
   onRollouts(statuses: RolloutStatus[]): void
+  onWork(box: string, entries: WorkEntry[]): void
   onStoreClock(storeNow: Milliseconds, at: Milliseconds): void
   currentOperators(): OperatorState
   currentUpstreams(): { fingerprint: number; entries: ListedUpstream[] }
@@ -147,6 +150,7 @@
       stamp: now,
       reports: [mine, ...this.live()],
       rollouts: report.rollouts,
+      work: report.work,
       ...(report.operators && { operators: report.operators }),
       ...(report.upstreams && { upstreams: report.upstreams }),
       ...(report.storeNow !== undefined && { storeNow: report.storeNow }),
@@ -173,6 +177,8 @@
     switch (message.type) {
       case 'gossip':
         return this.#hearGossip(from, voter, message)
+      case 'work':
+        return this.options.onWork(from.box, message.entries)
       case 'operators-wanted':
         this.options.transport.send(voter, {
           type: 'operators',
@@ -201,6 +207,7 @@
     }
     for (const report of message.reports) this.#takeReport(report, report.box === from.box, now)
     this.options.onRollouts(message.rollouts)
+    this.options.onWork(from.box, message.work)
     if (message.storeNow !== undefined) this.options.onStoreClock(message.storeNow, now)
     if (message.echo) this.#takeProofs(voter, message, message.echo)
   }
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -12,11 +12,13 @@
   type ExchangeOutcome,
   type ListedUpstream,
   type Milliseconds,
+  type PromptWork,
   type Random,
   type UpstreamCandidate,
 } from '@yewkeel/decisions'
 import { UpstreamChannels } from '../node/upstreamChannels.js'
 import type { EventLog, GatewayMetrics } from '../types/ports.js'
+import type { EngineWork } from './engineWork.js'
 
 /** An upstream that requests may be sent to. */
 export interface Upstream extends UpstreamCandidate {
@@ -34,7 +36,8 @@
   admits(version: string): boolean
   /** Ids that the request has been sent to. */
   tried: readonly string[]
-  affinityKey?: string
+  /** What the request's prompt costs, where it has one. */
+  prompt?: PromptWork
   /** Connections that one upstream takes from this box. */
   channelLimit: number
 }
@@ -48,6 +51,7 @@
   dataCentre: string
   log: EventLog
   metrics: GatewayMetrics
+  work: EngineWork
 }
 
 /** The upstreams of the platform's list with what this box knows of each. */
@@ -83,21 +87,20 @@
   }
 
   pick(query: PickQuery): Upstream | undefined {
-    const { random, dataCentre, clock } = this.options
+    const { random, dataCentre, clock, work } = this.options
     const now = clock.now()
     const candidates: Upstream[] = []
     for (const upstream of this.#upstreams.values()) {
       if (!isCandidate(upstream, query)) continue
       upstream.load = loadOf(upstream, now)
+      upstream.waiting = work.waiting(upstream.listed.id)
       upstream.isEjected = isEjected(upstream.health, now)
       candidates.push(upstream)
     }
-    const { affinityKey } = query
-    return pickUpstream(candidates, {
-      random,
-      dataCentre,
-      ...(affinityKey !== undefined && { affinityKey }),
-    })
+    const { prompt } = query
+    if (!prompt) return pickUpstream(candidates, { random, dataCentre })
+    const lane = work.deal(candidates, ({ listed }) => listed.id, prompt)
+    return pickUpstream(lane, { random, dataCentre, prompt })
   }
 
   /** Versions of a service that some upstream serves and takes requests for. */
@@ -167,6 +170,7 @@
         health,
         inFlight: 0,
         load: 0,
+        waiting: 0,
         isEjected: false,
       })
       this.options.log.note('upstream-listed', { ...entry })
@@ -183,6 +187,7 @@
     const known = this.#upstreams.get(id)
     if (!known) return
     known.channels.retire()
+    this.options.work.forget(id)
     this.#upstreams.delete(id)
     this.options.log.note('upstream-gone', { upstream: id, service: known.listed.service })
   }
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -1,4 +1,5 @@
 import type { AnswerCount, ListedUpstream, Milliseconds, RolloutStatus } from '@yewkeel/decisions'
+import type { WorkEntry } from '../tasks/engineWork.js'
 import type { OperatorState } from './ports.js'
 
 export type GatewayState = 'starting' | 'serving' | 'leaving'
@@ -36,6 +37,8 @@
   operators?: ProofAge
   upstreams?: ProofAge
   rollouts: RolloutStatus[]
+  /** Prompts that engines have still to read for the sender. */
+  work: WorkEntry[]
   /** The store's clock when the message was written. */
   storeNow?: Milliseconds
 }
@@ -43,6 +46,7 @@
 /** Messages between gateways. */
 export type GatewayMessage =
   | Gossip
+  | { type: 'work'; entries: WorkEntry[] }
   | { type: 'operators-wanted' }
   | { type: 'operators'; state: OperatorState }
   | { type: 'upstreams-wanted' }
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -49,6 +49,12 @@
   removeBoxes(boxes: readonly string[]): Promise<void>
 }
 
+/** A part of a prompt. Requests that begin with the same parts can share what an engine keeps of them. */
+export interface PromptPart {
+  id: string
+  tokens: number
+}
+
 /** What the headers of a caller's request say. */
 export interface RequestFields {
   /** The attempt, named by the caller. */
@@ -58,8 +64,10 @@
   session?: string
   /** As the caller names it. Undefined or open where the route lists models. */
   model?: string
-  /** Ids of the parts of the prompt, in order; the last is the request's own or its session's. */
-  promptParts: readonly string[]
+  /** 0 when unknown. */
+  promptTokens: number
+  /** Parts of the prompt, in order; the last is the request's own or its session's. */
+  promptParts: readonly PromptPart[]
   /** The caller has the stream up to this event. */
   lastEventId?: string
 }
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -1,4 +1,5 @@
 import type { Clock, Random, RetryShare } from '@yewkeel/decisions'
+import type { EngineWork } from '../tasks/engineWork.js'
 import type { OperatorTask } from '../tasks/operatorTask.js'
 import type { RolloutTask } from '../tasks/rolloutTask.js'
 import type { UpstreamDirectory } from '../tasks/upstreamDirectory.js'
@@ -17,6 +18,7 @@
   operators: OperatorTask
   upstreams: UpstreamDirectory
   rollouts: RolloutTask
+  work: EngineWork
   retries: RetryShare
   stalls: StallWatch
   /** Boxes that share the budgets. */
