Silence is judged by what an engine has to read; engines' own pace is learned; long prompts avoid running streams

Cause: streams paused up to 1.3 s beside prompts of 50,000 tokens, and were moved as stalled, to be read anew elsewhere. Change: the stall watch adds twice the known unread work; slowness of each engine is learned; a stream beside counts with a tenth of the prompt's reading time.

--- a/packages/decisions/src/listing/lanes.ts
+++ b/packages/decisions/src/listing/lanes.ts
@@ -20,8 +20,8 @@
 /** Before anything is learned. */
 const FIRST_SHARES: LaneShares = { light: 0.3, heavy: 0.7 }
 /** Light requests are many and their engines also make most of the tokens: they get more than their work. */
-const LIGHT_FACTOR = 1.6
-const LEAST_SHARE = 0.2
+const LIGHT_FACTOR = 1
+const LEAST_SHARE = 0.15
 /** Fewer engines than this are not worth dealing. */
 const LEAST_ENGINES = 4
 
--- a/packages/decisions/src/listing/pickUpstream.ts
+++ b/packages/decisions/src/listing/pickUpstream.ts
@@ -10,6 +10,8 @@
   load: number
   /** Time that it still reads prompts for, by what all boxes have sent it. */
   waiting: Milliseconds
+  /** How many times slower than others it reads. */
+  slowness: number
   /** Ejected upstreams are taken only when there is no other. */
   isEjected: boolean
 }
@@ -35,6 +37,8 @@
 const NEAR_BONUS = 0.12
 /** What one more stream beside adds to the time until an answer begins. */
 const STREAM_COST: Milliseconds = 1.5
+/** A stream beside is held up while a prompt is read: the part of that time that counts as a cost. */
+const HELD_UP_PART = 0.1
 /** A hop between data centres and back. */
 const FAR_COST: Milliseconds = 4
 /** Costs this close are equal: chance decides, so that boxes do not all choose the same. */
@@ -66,8 +70,8 @@
   for (const candidate of candidates) {
     const cost =
       candidate.waiting +
-      STREAM_COST * candidate.load +
-      (candidate === home ? whole - shared : whole) +
+      (STREAM_COST + HELD_UP_PART * whole) * candidate.load +
+      candidate.slowness * (candidate === home ? whole - shared : whole) +
       (candidate.listed.dataCentre === dataCentre ? 0 : FAR_COST) +
       TIE * random()
     if (cost >= least) continue
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -1,4 +1,5 @@
 import { nextModel, type ExchangeOutcome, type PromptWork } from '@yewkeel/decisions'
+import type { ReadingPrompt } from '../tasks/engineWork.js'
 import type { Upstream } from '../tasks/upstreamDirectory.js'
 import { EventRelay } from './eventRelay.js'
 import type { AnswerHead, ExchangeFault } from './exchangeWithUpstream.js'
@@ -13,13 +14,13 @@
   | { type: 'fault'; fault: ExchangeFault; wasSent: boolean; detail: string }
   | { type: 'over' }
 
-/** A silent upstream costs a stream its objective: it goes elsewhere at this share of the longest pause ... */
-const SILENT_UPSTREAM_SHARE = 0.65
-/** ... and at this one if the upstream still answers others. */
+/** A pause beyond what an engine's unread prompts explain, as a share of the longest pause in time ... */
+const SILENT_UPSTREAM_SHARE = 0.6
+/** ... and one that is too long whatever the engine is busy with. */
 const SILENT_STREAM_SHARE = 2.5
 /** Before the first event, shares of the latency objective. */
-const FIRST_SILENT_UPSTREAM_SHARE = 100
-const FIRST_SILENT_STREAM_SHARE = 100
+const FIRST_SILENT_UPSTREAM_SHARE = 0.4
+const FIRST_SILENT_STREAM_SHARE = 1.5
 const DEFAULT_PAUSE = 1_000
 
 /** Forwards a request whose answer is a stream of events. */
@@ -81,7 +82,8 @@
   #head: AnswerHead | undefined
   #watched: WatchedStream | undefined
   #firstEvent: number | undefined
-  #endWork = () => {}
+  #lastPiece: number | undefined
+  #reading: ReadingPrompt | undefined
   readonly #startedAt: number
 
   constructor(
@@ -103,7 +105,8 @@
     const { run, upstream, relay } = this
     const model = this.#model
     relay.beginRun()
-    this.#endWork = run.services.work.begin(upstream.listed.id, this.prompt)
+    const { promptTokens } = run.admitted.fields
+    this.#reading = run.services.work.begin(upstream.listed.id, this.prompt, promptTokens)
     run.onOver(() => this.#settle({ type: 'over' }))
     const lastEventId = relay.lastId ?? run.admitted.fields.lastEventId
     const exchange = run.send(
@@ -119,6 +122,7 @@
     const { latencyObjective } = run.route
     this.#watched = {
       exchange,
+      expected: () => run.services.work.waiting(upstream.listed.id),
       silentUpstream: FIRST_SILENT_UPSTREAM_SHARE * latencyObjective,
       silentStream: FIRST_SILENT_STREAM_SHARE * latencyObjective,
       onStall: pause => this.#stall(pause),
@@ -130,11 +134,9 @@
     const { run, upstream } = this
     const model = this.#model
     this.#head = head
-    this.#endWork()
     if (head.fields.load !== undefined) run.services.upstreams.noteLoad(upstream, head.fields.load)
     if (!isStream(head)) return true
-    const { work } = run.services
-    work.learn(this.prompt.model, run.admitted.fields.promptTokens, this.#sinceStart())
+    this.#reading?.answered()
     const next = this.#largerModel(head, model)
     if (next === undefined) return true
     run.mayHaveRun = true
@@ -158,16 +160,19 @@
       this.#body.push(chunk)
       return
     }
-    this.#noteFirstEvent()
+    this.#notePiece()
     const isInOrder = this.relay.push(chunk, () => {
       this.run.answer.start(head.status, this.run.services.dialect.writeAnswer(head.headers))
     })
     if (!isInOrder) this.#cancelAndFail('spoiled', 'an event was out of order')
   }
 
-  #noteFirstEvent(): void {
+  #notePiece(): void {
+    const now = this.#sinceStart()
+    this.run.notePiece(this.#lastPiece === undefined ? undefined : now - this.#lastPiece)
+    this.#lastPiece = now
     if (this.#firstEvent !== undefined) return
-    this.#firstEvent = this.#sinceStart()
+    this.#firstEvent = now
     const pause = this.run.route.pauseObjective ?? DEFAULT_PAUSE
     this.#watched!.silentUpstream = SILENT_UPSTREAM_SHARE * pause
     this.#watched!.silentStream = SILENT_STREAM_SHARE * pause
@@ -232,7 +237,7 @@
   }
 
   #settle(outcome: StreamOutcome): void {
-    this.#endWork()
+    this.#reading?.end()
     if (this.#watched) this.run.services.stalls.remove(this.#watched)
     this.resolve(outcome)
   }
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -26,6 +26,10 @@
   from: Milliseconds
   to?: Milliseconds
   outcome?: string
+  /** When the first event came, counted from the request's arrival. */
+  firstEvent?: Milliseconds
+  /** The longest time between two pieces of the stream. */
+  longestPause?: Milliseconds
 }
 
 /** Time that is kept back for the way to the upstream and back. */
@@ -184,6 +188,18 @@
     this.services.rollouts.noteAnswer(key, isGood, firstEvent)
   }
 
+  /** A piece of a stream came `pause` after the one before it, or is the first. */
+  notePiece(pause: Milliseconds | undefined): void {
+    const record = this.records.at(-1)
+    if (!record) return
+    if (pause === undefined) {
+      const { clock } = this.services
+      record.firstEvent = Math.round(clock.now() - this.admitted.request.receivedAt)
+    } else if (pause > (record.longestPause ?? 0)) {
+      record.longestPause = Math.round(pause)
+    }
+  }
+
   noteRefusal(head: AnswerHead): void {
     const { retryAfter } = head.fields
     if (retryAfter !== undefined) this.#retryAfter = retryAfter * 1_000
--- a/packages/gateway/src/requests/stallWatch.ts
+++ b/packages/gateway/src/requests/stallWatch.ts
@@ -4,7 +4,9 @@
 /** A streamed answer under way, and how long its upstream may say nothing. */
 export interface WatchedStream {
   exchange: RunningExchange
-  /** A pause after which the stream is taken to have stalled, if the upstream says nothing to anybody. */
+  /** How long the prompts that are before the upstream may hold it up. */
+  expected(): Milliseconds
+  /** Beyond twice what is expected, a pause after which a silent upstream is taken to have stalled. */
   silentUpstream: Milliseconds
   /** A pause after which it has stalled whatever the upstream says to others. */
   silentStream: Milliseconds
@@ -42,6 +44,7 @@
       const pause = now - exchange.lastBytesAt
       const upstreamPause = Math.min(pause, now - exchange.upstream.health.lastHeardAt)
       if (pause < silentStream && upstreamPause < silentUpstream) continue
+      if (pause < silentStream && upstreamPause < silentUpstream + 2 * stream.expected()) continue
       if (stream.onStall(pause)) this.#streams.delete(stream)
     }
   }
--- a/packages/gateway/src/tasks/engineWork.ts
+++ b/packages/gateway/src/tasks/engineWork.ts
@@ -28,6 +28,21 @@
 /** A peer's work that it did not tell of again is forgotten after this. */
 const WORK_LIFETIME: Milliseconds = 2_500
 
+/** Weight of the newest answer in what is known of an engine's slowness. */
+const SLOWNESS_WEIGHT = 0.08
+const LEAST_SLOWNESS = 0.5
+const MOST_SLOWNESS = 8
+/** Keeps short answers from saying much. */
+const SLOWNESS_SLACK: Milliseconds = 60
+
+/** A prompt that an engine has still to read. */
+export interface ReadingPrompt {
+  /** The answer began: what was expected is compared with it. */
+  answered(): void
+  /** The exchange ended, however. */
+  end(): void
+}
+
 interface PeerWork {
   work: Milliseconds
   heardAt: Milliseconds
@@ -40,6 +55,7 @@
   readonly #own = new Map<string, Milliseconds>()
   readonly #told = new Map<string, Milliseconds>()
   readonly #peers = new Map<string, Map<string, PeerWork>>()
+  readonly #slowness = new Map<string, number>()
   #isTelling = false
 
   constructor(private readonly options: EngineWorkOptions) {}
@@ -63,30 +79,53 @@
     return dealLane(members, idOf, laneOf(work.whole), this.#shares)
   }
 
-  /** Time that an engine still reads prompts for. */
+  /** Time that an engine still reads prompts for, at its own pace. */
   waiting(upstream: string): Milliseconds {
-    const now = this.options.clock.now()
-    let sum = this.#own.get(upstream) ?? 0
-    for (const { work, heardAt } of this.#peers.get(upstream)?.values() ?? [])
-      if (now - heardAt < WORK_LIFETIME) sum += work
-    return sum
+    return this.#unread(upstream) * this.slowness(upstream)
+  }
+
+  /** How many times slower than the estimates an engine answers. */
+  slowness(upstream: string): number {
+    return this.#slowness.get(upstream) ?? 1
   }
 
-  /** A prompt was sent. Call what is given once, when its answer begins or the exchange ends. */
-  begin(upstream: string, work: PromptWork): () => void {
+  /** A prompt was sent. */
+  begin(upstream: string, work: PromptWork, tokens: number): ReadingPrompt {
+    const expected = this.#unread(upstream) + work.whole
+    const startedAt = this.options.clock.now()
     noteWork(this.#shares, work.whole)
     this.#add(upstream, work.whole)
     let isOver = false
-    return () => {
+    const end = () => {
       if (isOver) return
       isOver = true
       this.#add(upstream, -work.whole)
     }
+    return {
+      end,
+      answered: () => {
+        if (isOver) return
+        const took = this.options.clock.now() - startedAt
+        noteFirstEvent(this.#estimates, work.model, tokens, took)
+        this.#learnSlowness(upstream, took, expected)
+        end()
+      },
+    }
+  }
+
+  #unread(upstream: string): Milliseconds {
+    const now = this.options.clock.now()
+    let sum = this.#own.get(upstream) ?? 0
+    for (const { work, heardAt } of this.#peers.get(upstream)?.values() ?? [])
+      if (now - heardAt < WORK_LIFETIME) sum += work
+    return sum
   }
 
-  /** An answer began: learns how fast the engine reads. */
-  learn(model: string, tokens: number, took: Milliseconds): void {
-    noteFirstEvent(this.#estimates, model, tokens, took)
+  #learnSlowness(upstream: string, took: Milliseconds, expected: Milliseconds): void {
+    const sample = (took + SLOWNESS_SLACK) / (expected + SLOWNESS_SLACK)
+    const bounded = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, sample))
+    const known = this.slowness(upstream)
+    this.#slowness.set(upstream, known + SLOWNESS_WEIGHT * (bounded - known))
   }
 
   takePeerWork(box: string, entries: readonly WorkEntry[]): void {
@@ -107,6 +146,7 @@
   forget(upstream: string): void {
     this.#peers.delete(upstream)
     this.#told.delete(upstream)
+    this.#slowness.delete(upstream)
   }
 
   #add(upstream: string, work: Milliseconds): void {
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -94,6 +94,7 @@
       if (!isCandidate(upstream, query)) continue
       upstream.load = loadOf(upstream, now)
       upstream.waiting = work.waiting(upstream.listed.id)
+      upstream.slowness = work.slowness(upstream.listed.id)
       upstream.isEjected = isEjected(upstream.health, now)
       candidates.push(upstream)
     }
@@ -171,6 +172,7 @@
         inFlight: 0,
         load: 0,
         waiting: 0,
+        slowness: 1,
         isEjected: false,
       })
       this.options.log.note('upstream-listed', { ...entry })
