Lists of upstreams never go back; refusals are true; answers without a length stay without one; no late streams while leaving

Ruled out: resets hidden by the client library alone (they are caught now, but the short answers end with a plain close). Change: lists carry the store's version, and entries are kept only when nobody could read the store; tries count as possible runs from the send on; answers keep their framing; streams are refused 2.6 s into a planned stop.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -1,5 +1,6 @@
 import type { PeerIdentity, PeerTransport } from '@yewkeel/box'
 import {
+  confirm,
   createRetryShare,
   type Clock,
   type Milliseconds,
@@ -73,6 +74,8 @@
 const CHANNEL_PART = 0.85
 const LEAST_CHANNELS = 3
 const MOST_ADDRESSES = 64
+/** A leaving box takes streams for this long: by then callers have new addresses, and most streams still end. */
+const STREAMS_WHILE_LEAVING: Milliseconds = 2_600
 
 const FORWARDERS: Record<Route['kind'], (run: ForwardedRequest) => Promise<void>> = {
   safe: forwardCall,
@@ -86,6 +89,7 @@
   let state: GatewayState = 'starting'
   let isStopped = false
   let hasEntry = false
+  let leavingSince: Milliseconds | undefined
 
   const operators = new OperatorTask({
     clock,
@@ -141,8 +145,12 @@
       ...(operators.state.revision > 0 && {
         operators: { revision: operators.state.revision, age: operators.age },
       }),
-      ...(upstreams.fingerprint !== 0 && {
-        upstreams: { revision: upstreams.fingerprint, age: reader.listAge },
+      ...(upstreams.version > 0 && {
+        upstreams: {
+          revision: upstreams.version,
+          fingerprint: upstreams.fingerprint,
+          age: reader.listAge,
+        },
       }),
       rollouts: rollouts.statuses,
       work: work.own(),
@@ -152,14 +160,15 @@
       operators.prove(revision, provedAt)
       return revision > operators.state.revision ? 'wanted' : 'known'
     },
-    onUpstreamsProved(fingerprint, provedAt) {
+    onUpstreamsProved({ revision, fingerprint }, provedAt) {
       if (fingerprint !== upstreams.fingerprint)
-        return provedAt > (reader.listProof.provedAt ?? -Infinity) ? 'wanted' : 'known'
-      reader.listProof.provedAt = Math.max(reader.listProof.provedAt ?? -Infinity, provedAt)
+        return revision > upstreams.version ? 'wanted' : 'known'
+      upstreams.sameAt(revision)
+      confirm(reader.listProof, provedAt)
       return 'known'
     },
     onOperators: next => void operators.take(next),
-    onUpstreams: (_fingerprint, entries) => void upstreams.take(entries),
+    onUpstreams: (entries, version) => void upstreams.take(entries, version),
     onRollouts: statuses => rollouts.takeStatuses(statuses),
     onWork: (box, entries) => work.takePeerWork(box, entries),
     onStoreClock: (storeNow, at) => rollouts.noteStoreClock(storeNow, at),
@@ -168,7 +177,7 @@
   })
 
   function currentUpstreams() {
-    return { fingerprint: upstreams.fingerprint, entries: upstreams.entries }
+    return { version: upstreams.version, entries: upstreams.listed }
   }
 
   /** This box's place by name among the boxes that serve. */
@@ -205,9 +214,14 @@
     }
   }
 
+  /** A stream that begins now would not end before the box does. */
+  function isLeavingSoon(): boolean {
+    return leavingSince !== undefined && clock.now() - leavingSince > STREAMS_WHILE_LEAVING
+  }
+
   function reject(request: CallerRequest, id: string, answer: CallerAnswer, why: Rejection): void {
     const retryAfter = why.status === 503 ? REJECTED_RETRY_AFTER : undefined
-    answer.start(why.status, dialect.writeRefusal(id, retryAfter))
+    answer.start(why.status, dialect.writeRefusal(id, retryAfter), true)
     answer.end(why.reason)
     metrics.count('requests', why.reason)
     log.request(
@@ -285,7 +299,7 @@
       void keepEntry()
       repeat(GOSSIP_EVERY, () => peers.tick())
       repeat(ROLLOUT_EVERY, () => {
-        if (state === 'starting' && operators.index && upstreams.fingerprint !== 0) {
+        if (state === 'starting' && operators.index && upstreams.version > 0) {
           state = 'serving'
           log.note('serving', { after: clock.now() - startedAt })
           peers.tick()
@@ -297,10 +311,11 @@
       const fields = dialect.readRequest(request.headers)
       const admitted = admitCaller(request, fields, operators.index, freshness(), random)
       if ('status' in admitted) return reject(request, fields.id, answer, admitted)
+      if (admitted.route.kind === 'streaming' && isLeavingSoon())
+        return reject(request, fields.id, answer, { status: 503, reason: 'leaving' })
       const run = new ForwardedRequest(services, admitted, answer)
       FORWARDERS[admitted.route.kind](run).catch((error: unknown) => {
         log.note('request-failed', { id: fields.id, error: String(error) })
-        run.mayHaveRun = true
         run.giveUp('internal error')
       })
     },
@@ -315,6 +330,7 @@
     isReady: () => state === 'serving',
     beginToLeave() {
       state = 'leaving'
+      leavingSince = clock.now()
       log.note('leaving', {})
       peers.tick()
     },
--- a/packages/gateway/src/node/entryServer.ts
+++ b/packages/gateway/src/node/entryServer.ts
@@ -118,9 +118,10 @@
 
 function createAnswer(response: ServerResponse, isLeaving: () => boolean): CallerAnswer {
   return {
-    start(status, headers) {
+    start(status, headers, isFramed) {
       if (response.headersSent) return
-      if (isLeaving()) response.shouldKeepAlive = false
+      if (isLeaving() || !isFramed) response.shouldKeepAlive = false
+      if (!isFramed) response.useChunkedEncodingByDefault = false
       response.writeHead(status, headers)
     },
     write: chunk => void response.write(chunk),
--- a/packages/gateway/src/node/upstreamChannels.ts
+++ b/packages/gateway/src/node/upstreamChannels.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@yewkeel/decisions'
-import { Client, type Dispatcher } from 'undici'
+import type { Socket } from 'node:net'
+import { buildConnector, Client, type Dispatcher } from 'undici'
 import type { RawHeaders } from '../types/ports.js'
 
 /** A request as it goes to an upstream. */
@@ -34,10 +35,18 @@
 /** Closed this much sooner than the upstream would. */
 const IDLE_MARGIN: Milliseconds = 1_200
 
+/** One connection, and whether it broke: the client takes an answer without a length for whole even then. */
+interface Channel {
+  client: Client
+  isBroken: boolean
+}
+
+const connect = buildConnector({ timeout: CONNECT_TIMEOUT })
+
 /** The connections of this box to one upstream. One request at a time on each; idle ones are used again. */
 export class UpstreamChannels {
-  readonly #idle: Client[] = []
-  readonly #open = new Set<Client>()
+  readonly #idle: Channel[] = []
+  readonly #open = new Set<Channel>()
   #isRetired = false
 
   constructor(private readonly address: string) {}
@@ -51,14 +60,19 @@
   }
 
   send(request: ExchangeRequest, listener: ExchangeListener): Exchange {
-    const client = this.#take(request.onFreshChannel)
+    const channel = this.#take(request.onFreshChannel)
     let isOver = false
     let wasSent = false
     const finish = () => {
       isOver = true
-      this.#giveBack(client)
+      this.#giveBack(channel)
+    }
+    const fail = (error: Error) => {
+      isOver = true
+      this.#drop(channel)
+      listener.onFailure(error, wasSent)
     }
-    client.dispatch(
+    channel.client.dispatch(
       {
         method: request.method as Dispatcher.HttpMethod,
         path: request.target,
@@ -82,14 +96,12 @@
         },
         onResponseEnd: () => {
           if (isOver) return
+          if (channel.isBroken) return fail(new Error('the connection broke in the answer'))
           finish()
           listener.onEnd()
         },
         onResponseError: (_controller, error) => {
-          if (isOver) return
-          isOver = true
-          this.#drop(client)
-          listener.onFailure(error, wasSent)
+          if (!isOver) fail(error)
         },
       },
     )
@@ -97,7 +109,7 @@
       cancel: () => {
         if (isOver) return
         isOver = true
-        this.#drop(client)
+        this.#drop(channel)
       },
     }
   }
@@ -105,38 +117,52 @@
   /** Takes no more requests; connections in use end with their exchange. */
   retire(): void {
     this.#isRetired = true
-    for (const client of this.#idle.splice(0)) this.#drop(client)
+    for (const channel of this.#idle.splice(0)) this.#drop(channel)
   }
 
-  #take(fresh: boolean): Client {
+  #take(fresh: boolean): Channel {
     const kept = fresh ? undefined : this.#idle.pop()
     if (kept) return kept
     const client = new Client(`http://${this.address}`, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT },
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          const [, socket] = result
+          if (socket) watchBreak(socket, channel)
+          callback(...result)
+        }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_TIMEOUT,
       keepAliveMaxTimeout: IDLE_TIMEOUT,
       keepAliveTimeoutThreshold: IDLE_MARGIN,
     })
-    this.#open.add(client)
+    const channel: Channel = { client, isBroken: false }
+    this.#open.add(channel)
     client.on('disconnect', () => {
-      const at = this.#idle.indexOf(client)
+      const at = this.#idle.indexOf(channel)
       if (at === -1) return
       this.#idle.splice(at, 1)
-      this.#drop(client)
+      this.#drop(channel)
     })
-    return client
+    return channel
   }
 
-  #giveBack(client: Client): void {
-    if (this.#isRetired || client.destroyed || client.closed) return this.#drop(client)
-    this.#idle.push(client)
+  #giveBack(channel: Channel): void {
+    const { client } = channel
+    if (this.#isRetired || client.destroyed || client.closed) return this.#drop(channel)
+    this.#idle.push(channel)
   }
 
-  #drop(client: Client): void {
-    this.#open.delete(client)
-    client.destroy().catch(() => undefined)
+  #drop(channel: Channel): void {
+    this.#open.delete(channel)
+    channel.client.destroy().catch(() => undefined)
   }
 }
+
+/** Hears of a reset before the client does. */
+function watchBreak(socket: Socket, channel: Channel): void {
+  socket.once('error', () => {
+    channel.isBroken = true
+  })
+}
--- a/packages/gateway/src/requests/admitCaller.ts
+++ b/packages/gateway/src/requests/admitCaller.ts
@@ -22,6 +22,7 @@
   | 'no-configuration'
   | 'configuration-stale'
   | 'keys-stale'
+  | 'leaving'
   | 'no-route'
   | 'key-missing'
   | 'key-unknown'
--- a/packages/gateway/src/requests/eventRelay.ts
+++ b/packages/gateway/src/requests/eventRelay.ts
@@ -9,6 +9,8 @@
   #splitter = new EventSplitter()
   #lastId: number | undefined
   #started = false
+  /** The caller was told that it will see the end of the answer. */
+  isFramed = true
 
   constructor(private readonly answer: CallerAnswer) {}
 
--- a/packages/gateway/src/requests/forwardCall.ts
+++ b/packages/gateway/src/requests/forwardCall.ts
@@ -45,8 +45,7 @@
 
 function noteFault(run: ForwardedRequest, upstream: Upstream, outcome: CallFault): undefined {
   run.noteTry(upstream, 'lost', `${outcome.fault}: ${outcome.detail}`)
-  if (outcome.wasSent) run.mayHaveRun = true
-  else run.takeBackSend()
+  if (!outcome.wasSent) run.takeBackSend()
 }
 
 function noteAnswer(
@@ -57,7 +56,6 @@
   const kind = judge(head)
   run.noteTry(upstream, OUTCOME_OF[kind], `${kind} ${head.status}`)
   if (kind === 'not-run') run.noteRefusal(head)
-  else run.mayHaveRun = true
   return { kind, head, body }
 }
 
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -139,7 +139,6 @@
     this.#reading?.answered()
     const next = this.#largerModel(head, model)
     if (next === undefined) return true
-    run.mayHaveRun = true
     run.noteTry(upstream, 'good', `confidence ${head.fields.confidence}`)
     run.noteAnswer(upstream, model, true, this.#sinceStart())
     this.#settle({ type: 'doubted', confidence: head.fields.confidence ?? 0, next })
@@ -162,7 +161,9 @@
     }
     this.#notePiece()
     const isInOrder = this.relay.push(chunk, () => {
-      this.run.answer.start(head.status, this.run.services.dialect.writeAnswer(head.headers))
+      const { run, relay } = this
+      relay.isFramed = head.fields.isFramed
+      run.answer.start(head.status, run.services.dialect.writeAnswer(head.headers), relay.isFramed)
     })
     if (!isInOrder) this.#cancelAndFail('spoiled', 'an event was out of order')
   }
@@ -183,8 +184,9 @@
     const model = this.#model
     const head = this.#head!
     if (!isStream(head)) return this.#takeWhole(head)
-    run.mayHaveRun = true
     if (relay.hasRest || !relay.hasStarted) return this.#fail('spoiled', true, 'it ended early')
+    if (relay.isFramed && !head.fields.isFramed)
+      return this.#fail('spoiled', true, 'its end cannot be seen')
     run.noteTry(upstream, 'good', 'complete')
     run.noteAnswer(upstream, model, true, this.#firstEvent)
     this.#settle({ type: 'complete' })
@@ -200,7 +202,6 @@
     if (isNotRun) {
       run.noteRefusal(head)
     } else {
-      run.mayHaveRun = true
       run.noteAnswer(upstream, model, false, undefined)
     }
     this.#settle({ type: 'answer', head, body: Buffer.concat(this.#body) })
@@ -211,7 +212,6 @@
     const model = this.#model
     run.noteTry(upstream, fault === 'silent' ? 'failed' : 'lost', `${fault}: ${detail}`)
     if (wasSent) {
-      run.mayHaveRun = true
       run.noteAnswer(upstream, model, false, undefined)
     } else {
       run.takeBackSend()
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -47,8 +47,8 @@
   readonly tried: string[] = []
   /** How many upstreams the request was sent to. */
   sends = 0
-  /** Some upstream may have run it, so no answer may say that it did not run. */
-  mayHaveRun = false
+  /** Tries that may have run: sent, and not said to be not run by the upstream in its own words. */
+  #possibleRuns = 0
   isOver = false
   readonly records: TryRecord[] = []
   /** Versions that the request may run on: drawn once, so that all of its tries agree. */
@@ -78,6 +78,11 @@
     return this.admitted.deadline - this.services.clock.now()
   }
 
+  /** Some upstream may have run it, so no answer may say that it did not run. */
+  get mayHaveRun(): boolean {
+    return this.#possibleRuns > 0
+  }
+
   /** Called once when the request is over, whoever ended it. */
   onOver(callback: () => void): void {
     this.#onOver = callback
@@ -135,6 +140,7 @@
     }
     this.tried.push(upstream.listed.id)
     this.sends++
+    this.#possibleRuns++
     const { id, version } = upstream.listed
     const at = clock.now()
     this.records.push({
@@ -164,6 +170,7 @@
   /** The last try never reached its upstream, so it does not count. */
   takeBackSend(): void {
     this.sends--
+    this.#possibleRuns--
   }
 
   /** Notes how a try ended, for the log and for the upstream's health. */
@@ -200,7 +207,9 @@
     }
   }
 
+  /** The upstream says that it did not run the request. */
   noteRefusal(head: AnswerHead): void {
+    this.#possibleRuns--
     const { retryAfter } = head.fields
     if (retryAfter !== undefined) this.#retryAfter = retryAfter * 1_000
   }
@@ -209,8 +218,10 @@
   deliver(head: AnswerHead, body: Buffer): void {
     if (this.isOver) return
     const headers = this.services.dialect.writeAnswer(head.headers)
-    headers.push('content-length', String(body.length))
-    this.answer.start(head.status, headers)
+    const { isFramed } = head.fields
+    // Nobody can say whether an answer without a length is whole: it is passed on as such.
+    if (isFramed) headers.push('content-length', String(body.length))
+    this.answer.start(head.status, headers, isFramed)
     this.answer.end(body)
     this.finish('delivered', head.status)
   }
@@ -222,7 +233,7 @@
     const status = !this.mayHaveRun ? 503 : isLate ? 504 : 502
     const retryAfter = this.mayHaveRun ? undefined : (this.#retryAfter ?? COME_BACK_AFTER)
     const headers = this.services.dialect.writeRefusal(this.admitted.fields.id, retryAfter)
-    this.answer.start(status, headers)
+    this.answer.start(status, headers, true)
     this.answer.end(reason)
     this.finish(reason, status)
   }
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -8,7 +8,14 @@
   type Milliseconds,
   type RolloutStatus,
 } from '@yewkeel/decisions'
-import type { BoxReport, GatewayMessage, GatewayState, Gossip, ProofAge } from '../types/gossip.js'
+import type {
+  BoxReport,
+  GatewayMessage,
+  GatewayState,
+  Gossip,
+  ListProofAge,
+  ProofAge,
+} from '../types/gossip.js'
 import type { BoxEntry, EventLog, OperatorState } from '../types/ports.js'
 import type { WorkEntry } from './engineWork.js'
 
@@ -18,7 +25,7 @@
   answers: AnswerCount[]
   inFlight: [string, number][]
   operators?: ProofAge
-  upstreams?: ProofAge
+  upstreams?: ListProofAge
   rollouts: RolloutStatus[]
   work: WorkEntry[]
   storeNow?: Milliseconds
@@ -32,14 +39,14 @@
   own(): OwnReport
   /** A neighbour vouches that the store's newest was this at `provedAt`, on this box's clock. */
   onOperatorsProved(revision: number, provedAt: Milliseconds): 'known' | 'wanted'
-  onUpstreamsProved(fingerprint: number, provedAt: Milliseconds): 'known' | 'wanted'
+  onUpstreamsProved(list: ListProofAge, provedAt: Milliseconds): 'known' | 'wanted'
   onOperators(state: OperatorState): void
-  onUpstreams(fingerprint: number, entries: ListedUpstream[]): void
+  onUpstreams(entries: ListedUpstream[], version: number): void
   onRollouts(statuses: RolloutStatus[]): void
   onWork(box: string, entries: WorkEntry[]): void
   onStoreClock(storeNow: Milliseconds, at: Milliseconds): void
   currentOperators(): OperatorState
-  currentUpstreams(): { fingerprint: number; entries: ListedUpstream[] }
+  currentUpstreams(): { version: number; entries: ListedUpstream[] }
 }
 
 interface KnownBox {
@@ -194,7 +201,7 @@
         })
         return
       case 'upstreams':
-        return this.options.onUpstreams(message.fingerprint, message.entries)
+        return this.options.onUpstreams(message.entries, message.version)
     }
   }
 
@@ -235,7 +242,7 @@
       if (answer === 'wanted') this.#ask(voter, { type: 'operators-wanted' })
     }
     if (upstreams) {
-      const answer = this.options.onUpstreamsProved(upstreams.revision, provedAt(upstreams))
+      const answer = this.options.onUpstreamsProved(upstreams, provedAt(upstreams))
       if (answer === 'wanted') this.#ask(voter, { type: 'upstreams-wanted' })
     }
   }
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -82,6 +82,7 @@
 
   /** Learns the store's clock; an answer can only be late, so the largest offset is nearest. */
   noteStoreClock(storeNow: Milliseconds, at: Milliseconds): void {
+    if (!Number.isFinite(storeNow)) return
     const offset = storeNow - at
     if (this.#storeOffset === undefined || offset > this.#storeOffset) this.#storeOffset = offset
   }
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -25,6 +25,8 @@
 const LIST_EVERY: Milliseconds = 850
 /** A box that is told nothing for this long reads for itself. */
 const READ_ALONE_AFTER: Milliseconds = 1_300
+/** A list that nobody could confirm for this long was not kept by the store. */
+const OUTAGE_AFTER: Milliseconds = 1_800
 const LOOK_AGAIN: Milliseconds = 120
 const AFTER_FAILURE: Milliseconds = 250
 
@@ -100,11 +102,12 @@
     try {
       const read = await store.readUpstreams()
       this.#noteAnswer(read.storeNow)
-      const isChanged = upstreams.take(read.value)
+      const isChanged = upstreams.take(read.value, read.version)
       confirm(this.listProof, sentAt)
       if (isChanged) this.options.onUpstreamsRead()
     } catch (error) {
-      upstreams.noteOutage()
+      // Others may still read the store: only if nobody does can entries lapse although their upstreams live.
+      if (this.listAge > OUTAGE_AFTER) upstreams.noteOutage()
       throw error
     }
     return Math.max(0, LIST_EVERY - (clock.now() - sentAt))
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -59,6 +59,8 @@
   readonly #list = createUpstreamListState()
   readonly #upstreams = new Map<string, Upstream>()
   #fingerprint = 0
+  #version = 0
+  #listed: readonly ListedUpstream[] = []
 
   constructor(private readonly options: UpstreamDirectoryOptions) {}
 
@@ -67,22 +69,36 @@
     return this.#fingerprint
   }
 
-  get entries(): ListedUpstream[] {
-    return [...this.#list.entries.values()]
+  /** The store's version when the list was read. 0 before the first. */
+  get version(): number {
+    return this.#version
+  }
+
+  /** The list as the store had it, without entries that are kept for a while. */
+  get listed(): ListedUpstream[] {
+    return [...this.#listed]
+  }
+
+  /** The same list was read at a later version. */
+  sameAt(version: number): void {
+    this.#version = Math.max(this.#version, version)
   }
 
   noteOutage(): void {
     noteListOutage(this.#list)
   }
 
-  /** Takes a whole list. True when it differs from the last one. */
-  take(listed: readonly ListedUpstream[]): boolean {
+  /** Takes a whole list; an older one is passed over. True when it differs from the last one. */
+  take(listed: readonly ListedUpstream[], version: number): boolean {
+    if (version < this.#version) return false
+    this.#version = version
+    this.#listed = listed
     const now = this.options.clock.now()
     const gone = takeUpstreamList(this.#list, listed, now)
     for (const id of gone) this.#forget(id)
     for (const entry of this.#list.entries.values()) this.#keep(entry, now)
     const before = this.#fingerprint
-    this.#fingerprint = fingerprintOf(this.entries)
+    this.#fingerprint = fingerprintOf(listed)
     return before !== this.#fingerprint
   }
 
@@ -175,7 +191,7 @@
         slowness: 1,
         isEjected: false,
       })
-      this.options.log.note('upstream-listed', { ...entry })
+      this.options.log.note('upstream-listed', { upstream: entry })
       return
     }
     if (known.listed.state !== entry.state) {
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -26,6 +26,12 @@
   age: Milliseconds
 }
 
+/** The same for the list of upstreams. Its rows change all the time, what they say seldom. */
+export interface ListProofAge extends ProofAge {
+  /** Equal for lists that say the same. */
+  fingerprint: number
+}
+
 /** What a box tells its neighbours a few times a second. */
 export interface Gossip {
   type: 'gossip'
@@ -35,7 +41,7 @@
   echo?: { stamp: Milliseconds; heldFor: Milliseconds }
   reports: BoxReport[]
   operators?: ProofAge
-  upstreams?: ProofAge
+  upstreams?: ListProofAge
   rollouts: RolloutStatus[]
   /** Prompts that engines have still to read for the sender. */
   work: WorkEntry[]
@@ -50,4 +56,4 @@
   | { type: 'operators-wanted' }
   | { type: 'operators'; state: OperatorState }
   | { type: 'upstreams-wanted' }
-  | { type: 'upstreams'; fingerprint: number; entries: ListedUpstream[] }
+  | { type: 'upstreams'; version: number; entries: ListedUpstream[] }
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -18,6 +18,8 @@
 /** An answer of the store, and the store's clock when it gave it. */
 export interface StoreRead<T> {
   value: T
+  /** Of the store as a whole, at the read. */
+  version: number
   storeNow: Milliseconds
 }
 
@@ -96,6 +98,8 @@
   confidence?: number
   /** Requests running and waiting at the upstream. */
   load?: number
+  /** Its length is told, so that its end can be seen. Otherwise it ends with the connection, whole or not. */
+  isFramed: boolean
   /** The bytes are not those that the upstream's program made. */
   isEncoded: boolean
   /** Seconds after which asking again may help. */
@@ -130,7 +134,8 @@
 
 /** Where the answer to a caller goes. */
 export interface CallerAnswer {
-  start(status: number, headers: string[]): void
+  /** `isFramed`: its end will be told by its length. Otherwise the connection ends with it. */
+  start(status: number, headers: string[], isFramed: boolean): void
   write(chunk: Buffer): void
   end(chunk?: Buffer | string): void
   /** Closes the connection, so that the answer does not look complete. */
