Reading of the store follows the bounds of the deployment; gossip carries hearsay only where boxes are not all linked

Cause: calls at the store and bytes between data centres were the largest prices after models and machines. Ruled out: a bonus for the home of shared parts (1.5 and 3 times their reading time: no fewer parts read again). Change: waiting and polling spans are parts of the time within which news must be known; in a full mesh each box gossips of itself alone.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -130,6 +130,7 @@
     upstreams,
     rollouts,
     isReader: () => rank() < READERS,
+    newsWithin: settings.newsWithin,
     onOperatorsRead: () => peers.push({ type: 'operators', state: operators.state }),
     onUpstreamsRead: () => peers.push({ type: 'upstreams', ...currentUpstreams() }),
   })
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -155,7 +155,8 @@
     return {
       type: 'gossip',
       stamp: now,
-      reports: [mine, ...this.live()],
+      // Where every box is linked to every other, each speaks for itself alone.
+      reports: this.#isMesh() ? [mine] : [mine, ...this.live()],
       rollouts: report.rollouts,
       work: report.work,
       ...(report.operators && { operators: report.operators }),
@@ -174,6 +175,13 @@
     return ringNeighbours(this.options.self.box, entries, entry => entry.box)
   }
 
+  #isMesh(): boolean {
+    return (
+      this.#neighbours().length ===
+      this.#entries.size - (this.#entries.has(this.options.self.box) ? 1 : 0)
+    )
+  }
+
   #link(): void {
     const peers = this.#neighbours().map(({ box, peerAddress }) => ({ box, address: peerAddress }))
     this.options.transport.link(peers)
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -15,16 +15,18 @@
   rollouts: RolloutTask
   /** Whether this box reads for all; the others read only when they hear nothing. */
   isReader(): boolean
+  /** The operators' changes and leaving upstreams must be known within this. */
+  newsWithin: Milliseconds
   onOperatorsRead(): void
   onUpstreamsRead(): void
 }
 
-/** A waiting read ends after this even if nothing changes: the age of a proof grows while it waits. */
-const AWAIT_CHANGE: Milliseconds = 700
-/** Half of the time within which a leaving upstream gets no more requests, less a read. */
-const LIST_EVERY: Milliseconds = 850
-/** A box that is told nothing for this long reads for itself. */
-const READ_ALONE_AFTER: Milliseconds = 1_300
+/** Parts of the time within which news must be known. A waiting read ends even if nothing changes ... */
+const AWAIT_PART = 0.3
+/** ... the list is read this often, so that a leaving upstream is known in half of the time ... */
+const LIST_PART = 0.4
+/** ... and a box that is told nothing reads for itself. */
+const ALONE_PART = 0.95
 /** A list that nobody could confirm for this long was not kept by the store. */
 const OUTAGE_AFTER: Milliseconds = 1_800
 const LOOK_AGAIN: Milliseconds = 120
@@ -72,13 +74,13 @@
   }
 
   async #readOperators(): Promise<Milliseconds> {
-    const { operators, clock, store, rollouts, isReader } = this.options
+    const { operators, clock, store, rollouts, isReader, newsWithin } = this.options
     const isFirst = operators.state.revision === 0
-    if (!isFirst && !isReader() && operators.age < READ_ALONE_AFTER) return LOOK_AGAIN
+    if (!isFirst && !isReader() && operators.age < ALONE_PART * newsWithin) return LOOK_AGAIN
     const sentAt = clock.now()
     if (!isFirst) {
       const { revision } = operators.state
-      const wait = isReader() ? AWAIT_CHANGE : 0
+      const wait = isReader() ? Math.round(AWAIT_PART * newsWithin) : 0
       const news = await store.awaitOperatorState(revision, wait)
       this.#noteAnswer(news.storeNow)
       if (!news.value) {
@@ -96,8 +98,8 @@
   }
 
   async #readUpstreams(): Promise<Milliseconds> {
-    const { upstreams, clock, store, isReader } = this.options
-    if (!isReader() && this.listAge < READ_ALONE_AFTER) return LOOK_AGAIN
+    const { upstreams, clock, store, isReader, newsWithin } = this.options
+    if (!isReader() && this.listAge < ALONE_PART * newsWithin) return LOOK_AGAIN
     const sentAt = clock.now()
     try {
       const read = await store.readUpstreams()
@@ -110,7 +112,7 @@
       if (this.listAge > OUTAGE_AFTER) upstreams.noteOutage()
       throw error
     }
-    return Math.max(0, LIST_EVERY - (clock.now() - sentAt))
+    return Math.max(0, LIST_PART * newsWithin - (clock.now() - sentAt))
   }
 
   #noteAnswer(storeNow: Milliseconds): void {
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -15,6 +15,8 @@
   peerSecret: string
   /** After this a key that was taken away may not be honoured; undefined if nobody minds. */
   keyRevocation?: Milliseconds
+  /** The operators' changes and leaving upstreams must be known within this. */
+  newsWithin: Milliseconds
   /** How long callers keep the addresses that they are told. */
   addressLifetime: Milliseconds
   /** A planned stop ends within this. */
