--- /dev/null
+++ b/packages/decisions/test/listing.test.ts
@@ -0,0 +1,179 @@
+import { expect } from 'chai'
+import {
+  createExchangeHealth,
+  createLaneShares,
+  createSeededRandom,
+  createUpstreamListState,
+  createWorkEstimates,
+  dealLane,
+  isEjected,
+  noteExchange,
+  noteFirstEvent,
+  noteListOutage,
+  noteWork,
+  pickUpstream,
+  RETURN_GRACE,
+  takeUpstreamList,
+  workOf,
+  type ListedUpstream,
+  type UpstreamCandidate,
+} from '../src/index.js'
+
+const listed = (id: string, state: ListedUpstream['state'] = 'ready'): ListedUpstream => ({
+  id,
+  service: 'pool',
+  address: `10.0.0.1:${id.length}`,
+  dataCentre: 'ebene',
+  version: 'v1',
+  slots: 8,
+  state,
+})
+
+describe('the list of upstreams', () => {
+  it('drops an entry that is missing while the store is well', () => {
+    const state = createUpstreamListState()
+    takeUpstreamList(state, [listed('a'), listed('bb')], 0)
+    expect(takeUpstreamList(state, [listed('a')], 1_000)).to.deep.equal(['bb'])
+  })
+
+  it('keeps entries that lapsed while the store was out, until they had time to come back', () => {
+    const state = createUpstreamListState()
+    takeUpstreamList(state, [listed('a'), listed('bb')], 0)
+    noteListOutage(state)
+    expect(takeUpstreamList(state, [listed('a')], 8_000)).to.deep.equal([])
+    expect(state.entries.has('bb')).to.equal(true)
+    expect(takeUpstreamList(state, [listed('a')], 8_000 + RETURN_GRACE)).to.deep.equal(['bb'])
+  })
+
+  it('does not keep one that had said that it leaves', () => {
+    const state = createUpstreamListState()
+    takeUpstreamList(state, [listed('a'), listed('bb', 'draining')], 0)
+    noteListOutage(state)
+    expect(takeUpstreamList(state, [listed('a')], 8_000)).to.deep.equal(['bb'])
+  })
+
+  it('takes a missing entry for gone when it lapses after the time to come back', () => {
+    const state = createUpstreamListState()
+    takeUpstreamList(state, [listed('a'), listed('bb')], 0)
+    noteListOutage(state)
+    takeUpstreamList(state, [listed('a'), listed('bb')], 8_000)
+    expect(takeUpstreamList(state, [listed('a')], 12_000)).to.deep.equal(['bb'])
+  })
+})
+
+describe('the health of an upstream', () => {
+  it('ejects one that fails while the others do not', () => {
+    const health = createExchangeHealth(0)
+    let isOut = false
+    for (let count = 0; count < 12; count++)
+      isOut ||= noteExchange(health, count % 2 ? 'failed' : 'good', 0.02, count)
+    expect(isOut).to.equal(true)
+    expect(isEjected(health, 20)).to.equal(true)
+  })
+
+  it('does not eject one of many that fail alike', () => {
+    const health = createExchangeHealth(0)
+    for (let count = 0; count < 40; count++) {
+      const isOut = noteExchange(health, count % 3 ? 'good' : 'failed', 0.3, count)
+      expect(isOut).to.equal(false)
+    }
+  })
+
+  it('ejects one that loses three requests in a row, and longer each time', () => {
+    const health = createExchangeHealth(0)
+    for (let count = 0; count < 3; count++) noteExchange(health, 'lost', 0, 0)
+    expect(isEjected(health, 900)).to.equal(true)
+    expect(isEjected(health, 1_000)).to.equal(false)
+    for (let count = 0; count < 3; count++) noteExchange(health, 'lost', 0, 1_000)
+    expect(isEjected(health, 2_900)).to.equal(true)
+  })
+
+  it('does not count a refusal against it', () => {
+    const health = createExchangeHealth(0)
+    for (let count = 0; count < 50; count++)
+      expect(noteExchange(health, 'shed', 0, count)).to.equal(false)
+  })
+})
+
+function candidate(id: string, waiting = 0, load = 0): UpstreamCandidate {
+  return { listed: listed(id), load, waiting, slowness: 1, isEjected: false }
+}
+
+describe('the choice of an upstream', () => {
+  const options = { dataCentre: 'ebene', random: createSeededRandom(4) }
+  const prompt = { model: 'm', whole: 300, shared: 200, homeKey: 'm p1 p2' }
+
+  it('sends a prompt where it is read soonest', () => {
+    const busy = [candidate('a', 900), candidate('bb', 800), candidate('ccc', 10)]
+    expect(pickUpstream(busy, { ...options, prompt })?.listed.id).to.equal('ccc')
+  })
+
+  it('sends prompts that share parts to the same engine while that one is no busier than the parts are worth', () => {
+    const idle = ['a', 'bb', 'ccc', 'dddd'].map(id => candidate(id))
+    const home = pickUpstream(idle, { ...options, prompt })!
+    home.waiting = 150
+    expect(pickUpstream(idle, { ...options, prompt })).to.equal(home)
+    home.waiting = 400
+    expect(pickUpstream(idle, { ...options, prompt })).not.to.equal(home)
+  })
+
+  it('keeps long prompts away from engines with many streams', () => {
+    const two = [candidate('a', 0, 20), candidate('bb', 100, 0)]
+    const long = { model: 'm', whole: 2_000, shared: 0 }
+    expect(pickUpstream(two, { ...options, prompt: long })?.listed.id).to.equal('bb')
+  })
+
+  it('takes an ejected upstream only when there is no other', () => {
+    const ejected = { ...candidate('a'), isEjected: true }
+    expect(
+      pickUpstream([ejected, candidate('bb', 5_000)], { ...options, prompt })?.listed.id,
+    ).to.equal('bb')
+    expect(pickUpstream([ejected], { ...options, prompt })?.listed.id).to.equal('a')
+  })
+})
+
+describe('lanes', () => {
+  const engines = Array.from({ length: 13 }, (_, number) => `engine-${number}`)
+
+  it('share out all engines, none twice, and both have some', () => {
+    const shares = createLaneShares()
+    const light = dealLane(engines, id => id, 'light', shares)
+    const heavy = dealLane(engines, id => id, 'heavy', shares)
+    expect([...light, ...heavy].sort()).to.deep.equal([...engines].sort())
+    expect(light.length).to.be.at.least(1)
+    expect(heavy.length).to.be.at.least(1)
+  })
+
+  it('follow the work that is sent', () => {
+    const shares = createLaneShares()
+    for (let count = 0; count < 2_000; count++) noteWork(shares, 100)
+    const light = dealLane(engines, id => id, 'light', shares)
+    expect(light.length).to.be.above(8)
+    expect(light.length).to.be.below(13)
+  })
+
+  it('are the same on every box for the same shares, in whatever order engines are listed', () => {
+    const shares = createLaneShares()
+    const there = dealLane([...engines].reverse(), id => id, 'heavy', shares)
+    expect(dealLane(engines, id => id, 'heavy', shares)).to.have.members([...there])
+  })
+})
+
+describe('estimates of work', () => {
+  it('follow the faster answers, since the others waited', () => {
+    const estimates = createWorkEstimates()
+    const random = createSeededRandom(9)
+    for (let count = 0; count < 300; count++) {
+      const waited = random() < 0.5 ? 0 : 900 * random()
+      noteFirstEvent(estimates, 'large', 5_000, 250 + waited)
+    }
+    expect(workOf(estimates, 'large', 5_000)).to.be.within(200, 420)
+  })
+
+  it('learn nothing from a short prompt', () => {
+    const estimates = createWorkEstimates()
+    const before = workOf(estimates, 'small', 1_000)
+    noteFirstEvent(estimates, 'small', 50, 400)
+    expect(workOf(estimates, 'small', 1_000)).to.equal(before)
+  })
+})
--- /dev/null
+++ b/packages/decisions/test/routing.test.ts
@@ -0,0 +1,269 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import {
+  confirm,
+  confirmationAge,
+  createRetryShare,
+  createRouteIndex,
+  decideRollout,
+  goesToTarget,
+  isVersionBad,
+  keepsSessions,
+  nextModel,
+  noteRequest,
+  ringNeighbours,
+  takeRetry,
+  targetShare,
+  vouchedAt,
+  type AnswerCount,
+  type Confirmation,
+  type Configuration,
+  type RolloutOrder,
+  type RolloutStatus,
+  type Route,
+} from '../src/index.js'
+
+function createRoute(prefix: string): Route {
+  return {
+    name: prefix,
+    host: 'desk.example',
+    prefix,
+    kind: 'safe',
+    targets: [{ service: 'desk', weight: 1 }],
+    maxAttempts: 2,
+    timeout: 1_000,
+    latencyObjective: 100,
+    priority: 0,
+    isPublic: false,
+    isResumable: false,
+    models: [],
+  }
+}
+
+const CONFIGURATION: Configuration = {
+  revision: 3,
+  routes: [createRoute('/a/'), createRoute('/a/b/'), createRoute('/c/')],
+  services: [{ name: 'desk', healthPath: '/', maxConnections: 10 }],
+  organisations: [{ name: 'morne', keys: ['k1', 'k2'], priority: 0 }],
+  limits: { bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
+}
+
+describe('routes', () => {
+  const index = createRouteIndex(CONFIGURATION)
+
+  it('takes the longest prefix of the path, whatever the query says', () => {
+    expect(index.match('desk.example', '/a/b/c?x=/c/')?.name).to.equal('/a/b/')
+    expect(index.match('DESK.example:80', '/a/x')?.name).to.equal('/a/')
+  })
+
+  it('has no route for a path that only begins like a prefix', () => {
+    expect(index.match('desk.example', '/ab/')).to.equal(undefined)
+    expect(index.match('desk.example', '/')).to.equal(undefined)
+    expect(index.match('other.example', '/a/')).to.equal(undefined)
+  })
+
+  it('knows the organisation of each of its keys and of no other', () => {
+    expect(index.organisationOf('k2')?.name).to.equal('morne')
+    expect(index.organisationOf('k3')).to.equal(undefined)
+  })
+})
+
+describe('proofs of freshness', () => {
+  it('never become older, whichever comes last', () => {
+    const proof: Confirmation = {}
+    confirm(proof, 100)
+    confirm(proof, 60)
+    expect(confirmationAge(proof, 150)).to.equal(50)
+  })
+
+  it('that a peer vouches for are never younger than the read, however late the messages are', () => {
+    fc.assert(
+      fc.property(
+        fc.record({
+          way: fc.nat(5_000),
+          read: fc.nat(5_000),
+          wait: fc.nat(5_000),
+        }),
+        fc.integer({ min: -100_000, max: 100_000 }),
+        ({ way, read, wait }, offset) => {
+          // On the receiver's clock: stamped at 0, heard after `way`; the peer's clock differs by `offset`.
+          const peerHeard = way + offset
+          const peerRead = peerHeard - read
+          const peerSends = peerHeard + wait
+          const bound = vouchedAt({ echo: 0, heldFor: wait, age: peerSends - peerRead })
+          const readOnOwnClock = peerRead - offset
+          expect(bound).to.be.at.most(readOnOwnClock)
+        },
+      ),
+    )
+  })
+})
+
+describe('the retry budget of all boxes', () => {
+  it('is kept by the sum of their shares, however requests are spread', () => {
+    const limits = { ratio: 0.9, slack: 58, window: 10_000 }
+    fc.assert(
+      fc.property(fc.array(fc.nat(300), { minLength: 1, maxLength: 12 }), requestsByBox => {
+        let retries = 0
+        for (const requests of requestsByBox) {
+          const share = createRetryShare(limits)
+          for (let count = 0; count < requests; count++) noteRequest(share, 5_000)
+          while (takeRetry(share, requestsByBox.length, 5_000)) retries++
+        }
+        const total = requestsByBox.reduce((sum, count) => sum + count, 0)
+        expect(retries).to.be.at.most(limits.ratio * total + limits.slack)
+      }),
+    )
+  })
+
+  it('forgets what left the window', () => {
+    const share = createRetryShare({ ratio: 0.5, slack: 0, window: 10_000 })
+    for (let count = 0; count < 10; count++) noteRequest(share, 0)
+    while (takeRetry(share, 1, 0));
+    expect(takeRetry(share, 1, 9_000)).to.equal(false)
+    for (let count = 0; count < 10; count++) noteRequest(share, 11_000)
+    expect(takeRetry(share, 1, 11_000)).to.equal(true)
+  })
+})
+
+describe('models in order of cost', () => {
+  const models = ['small', 'middle', 'large']
+
+  it('go on to the largest when the answer is doubtful, and stay otherwise', () => {
+    expect(nextModel(models, 'small', 20, { threshold: 45 })).to.equal('large')
+    expect(nextModel(models, 'small', 45, { threshold: 45 })).to.equal(undefined)
+    expect(nextModel(models, 'small', undefined, { threshold: 45 })).to.equal(undefined)
+  })
+
+  it('end with the largest', () => {
+    expect(nextModel(models, 'large', 1, { threshold: 45 })).to.equal(undefined)
+  })
+})
+
+describe('a roll-out', () => {
+  const order: RolloutOrder = { service: 'pool', target: 'v2', duration: 20_000, revision: 10 }
+  const active: RolloutStatus = {
+    service: 'pool',
+    target: 'v2',
+    state: 'active',
+    startedAt: 1_000,
+    revision: 11,
+  }
+  const view = { order, status: active, targetUpstreams: 3, oldInFlight: 0, isTargetBad: false }
+
+  it('gives a new version nothing before it is active, little in the first half, and all before the end', () => {
+    expect(targetShare(order, undefined, 1_000)).to.equal(0)
+    expect(targetShare(order, active, 10_900)).to.be.within(0.01, 0.15)
+    expect(targetShare(order, active, 15_000)).to.equal(1)
+  })
+
+  it('gives nothing to a version whose status answers an earlier order', () => {
+    expect(targetShare(order, { ...active, state: 'completed', revision: 9 }, 15_000)).to.equal(0)
+  })
+
+  it('never shrinks the share while it goes on', () => {
+    let last = 0
+    for (let now = 1_000; now < 21_000; now += 100) {
+      const share = targetShare(order, active, now)
+      expect(share).to.be.at.least(last)
+      last = share
+    }
+  })
+
+  it('keeps sessions on their version for the first half', () => {
+    expect(keepsSessions(order, active, 10_900)).to.equal(true)
+    expect(keepsSessions(order, active, 12_000)).to.equal(false)
+    const shares = { target: 'v2', share: 0.5, keepsSessions: true }
+    expect(goesToTarget(shares, { session: 's1' }, () => 0)).to.equal(false)
+  })
+
+  it('deals a session alike on every box, and never back while the share grows', () => {
+    const on = (session: string, share: number) =>
+      goesToTarget({ target: 'v2', share, keepsSessions: false }, { session }, Math.random)
+    for (let name = 0; name < 200; name++) {
+      const session = `session-${name}`
+      expect(on(session, 0.4)).to.equal(on(session, 0.4))
+      if (on(session, 0.4)) expect(on(session, 0.7)).to.equal(true)
+    }
+  })
+
+  it('begins once an upstream serves the target, and is completed when the old version is idle', () => {
+    expect(
+      decideRollout({ order, storeNow: 0, targetUpstreams: 0, oldInFlight: 0, isTargetBad: false }),
+    ).to.equal(undefined)
+    expect(
+      decideRollout({ order, storeNow: 0, targetUpstreams: 1, oldInFlight: 9, isTargetBad: false }),
+    ).to.equal('active')
+    expect(decideRollout({ ...view, storeNow: 18_000 })).to.equal('completed')
+    expect(decideRollout({ ...view, storeNow: 18_000, oldInFlight: 1 })).to.equal(undefined)
+    expect(decideRollout({ ...view, storeNow: 19_600, oldInFlight: 1 })).to.equal('completed')
+  })
+
+  it('is rolled back at any time when the version is bad, and never leaves an end state', () => {
+    expect(decideRollout({ ...view, storeNow: 2_000, isTargetBad: true })).to.equal('rolled-back')
+    expect(decideRollout({ ...view, storeNow: 20_900, isTargetBad: true })).to.equal('rolled-back')
+    const ended = { ...active, state: 'completed' as const }
+    expect(decideRollout({ ...view, status: ended, storeNow: 20_000, isTargetBad: true })).to.equal(
+      undefined,
+    )
+  })
+})
+
+describe('evidence about a version', () => {
+  const count = (version: string, good: number, bad: number, route = 'chat'): AnswerCount => ({
+    service: 'pool',
+    version,
+    route,
+    good,
+    bad,
+  })
+
+  it('calls a version bad that fails far more often than the others', () => {
+    expect(isVersionBad([count('v1', 200, 2), count('v2', 8, 5)], 'pool', 'v2')).to.equal(true)
+  })
+
+  it('does not blame a version for a fault that strikes all alike', () => {
+    expect(isVersionBad([count('v1', 60, 40), count('v2', 6, 5)], 'pool', 'v2')).to.equal(false)
+  })
+
+  it('sees a version that is bad on one route only', () => {
+    const counts = [
+      count('v1', 300, 1),
+      count('v1', 30, 0, 'tag'),
+      count('v2', 100, 0),
+      count('v2', 1, 6, 'tag'),
+    ]
+    expect(isVersionBad(counts, 'pool', 'v2')).to.equal(true)
+  })
+
+  it('waits for more than a few bad answers', () => {
+    expect(isVersionBad([count('v1', 200, 0), count('v2', 0, 3)], 'pool', 'v2')).to.equal(false)
+  })
+})
+
+describe('neighbours on the ring', () => {
+  const boxes = (count: number) =>
+    Array.from({ length: count }, (_, number) => `box-${String(number).padStart(3, '0')}`)
+
+  it('are all others in a small group', () => {
+    expect(ringNeighbours('box-000', boxes(9), name => name)).to.have.length(8)
+  })
+
+  it('know each other, are few, and reach every box in a few hops at 83 and 640 boxes', () => {
+    for (const [size, most, hops] of [
+      [83, 8, 5],
+      [640, 12, 7],
+    ] as const) {
+      const names = boxes(size)
+      const links = new Map(names.map(name => [name, ringNeighbours(name, names, other => other)]))
+      for (const [name, others] of links) {
+        expect(others.length).to.be.at.most(most)
+        for (const other of others) expect(links.get(other)).to.include(name)
+      }
+      const reached = new Set([names[0]!])
+      for (let hop = 0; hop < hops; hop++)
+        for (const name of [...reached]) for (const other of links.get(name)!) reached.add(other)
+      expect(reached.size).to.equal(size)
+    }
+  })
+})
--- /dev/null
+++ b/packages/gateway/test/testGateway.ts
@@ -0,0 +1,242 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import {
+  createSeededRandom,
+  ManualClock,
+  type Configuration,
+  type ListedUpstream,
+  type Route,
+} from '@yewkeel/decisions'
+import {
+  createGateway,
+  createGatewayMetrics,
+  startEntryServer,
+  type Dialect,
+  type EntryServer,
+  type Gateway,
+  type OperatorState,
+  type Store,
+} from '../src/index.js'
+
+/** A dialect with plain names, so that the gateway is tested without any platform. */
+const testDialect: Dialect = {
+  readRequest(headers) {
+    const get = (name: string) => valueOf(headers, name)
+    const model = get('model')
+    const timeLeft = get('time-left')
+    return {
+      id: get('id') ?? '',
+      ...(timeLeft !== undefined && { timeLeft: Number(timeLeft) }),
+      ...(get('key') !== undefined && { key: get('key')! }),
+      ...(model !== undefined && { model }),
+      promptTokens: Number(get('tokens') ?? 0),
+      promptParts: [],
+    }
+  },
+  writeRequest(headers, fields) {
+    const written = ['id', valueOf(headers, 'id') ?? '', 'upstream', fields.upstreamId]
+    written.push('time-left', String(fields.timeLeft))
+    if (fields.model !== undefined) written.push('model', fields.model)
+    if (fields.lastEventId !== undefined) written.push('last-event-id', fields.lastEventId)
+    return written
+  },
+  readAnswer(headers) {
+    const get = (name: string) => valueOf(headers, name)
+    const id = get('id')
+    const confidence = get('confidence')
+    return {
+      ...(id !== undefined && { id }),
+      isSigned: get('signed') !== undefined,
+      isNotRun: get('not-run') !== undefined,
+      ...(confidence !== undefined && { confidence: Number(confidence) }),
+      isFramed: get('content-length') !== undefined || get('transfer-encoding') !== undefined,
+      isEncoded: false,
+    }
+  },
+  writeAnswer: headers => {
+    const id = valueOf(headers, 'signed')
+    return id === undefined ? [] : ['signed', id]
+  },
+  writeRefusal: (id, retryAfter) => [
+    'id',
+    id,
+    ...(retryAfter === undefined ? [] : ['retry-after', String(retryAfter / 1_000)]),
+  ],
+}
+
+function valueOf(headers: readonly string[], name: string): string | undefined {
+  const at = headers.findIndex((text, index) => index % 2 === 0 && text.toLowerCase() === name)
+  return at === -1 ? undefined : headers[at + 1]
+}
+
+/** What a stand-in upstream does with a request. `run` counts as having run it. */
+export type Behaviour = (request: IncomingMessage, response: ServerResponse) => void
+
+export interface StandInUpstream {
+  id: string
+  listed: ListedUpstream
+  /** Requests that reached it. */
+  requests: IncomingMessage[]
+  close(): void
+}
+
+/** An upstream on loopback. */
+export async function startUpstream(id: string, behave: Behaviour): Promise<StandInUpstream> {
+  const requests: IncomingMessage[] = []
+  const server = createServer((request, response) => {
+    requests.push(request)
+    request.resume()
+    request.once('end', () => behave(request, response))
+  })
+  const address = await listen(server)
+  return {
+    id,
+    requests,
+    listed: {
+      id,
+      service: 'desk',
+      address,
+      dataCentre: 'ebene',
+      version: 'v1',
+      slots: 4,
+      state: 'ready',
+    },
+    close: () => {
+      server.close()
+      server.closeAllConnections()
+    },
+  }
+}
+
+async function listen(server: Server): Promise<string> {
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+export interface TestGateway {
+  gateway: Gateway
+  clock: ManualClock
+  entry: EntryServer
+  /** What the store gives from now on. */
+  store: { operators: OperatorState; upstreams: ListedUpstream[]; isOut: boolean; version: number }
+  /** Lines of requests that came to their end. */
+  lines: { outcome?: string; status?: number }[]
+  /** Moves the clock until something holds. */
+  until(condition: () => boolean): Promise<void>
+  close(): Promise<void>
+}
+
+export function createTestRoute(change: Partial<Route>): Route {
+  return {
+    name: 'route',
+    host: '127.0.0.1',
+    prefix: '/desk/',
+    kind: 'safe',
+    targets: [{ service: 'desk', weight: 1 }],
+    maxAttempts: 3,
+    timeout: 2_000,
+    latencyObjective: 400,
+    priority: 0,
+    isPublic: true,
+    isResumable: false,
+    models: [],
+    ...change,
+  }
+}
+
+/** A gateway on loopback whose clock the test moves. */
+export async function startTestGateway(
+  upstreams: readonly StandInUpstream[],
+  configuration: Partial<Configuration>,
+): Promise<TestGateway> {
+  const clock = new ManualClock()
+  const content: Configuration = {
+    revision: 1,
+    routes: [createTestRoute({})],
+    services: [{ name: 'desk', healthPath: '/', maxConnections: 40 }],
+    limits: { bodyBytes: 100_000, headerTimeout: 1_000, idleTimeout: 1_000 },
+    ...configuration,
+  }
+  const state = {
+    operators: { revision: 1, configuration: content, orders: [] } as OperatorState,
+    upstreams: upstreams.map(upstream => upstream.listed),
+    isOut: false,
+    version: 1,
+  }
+  const read = <T>(value: T) =>
+    state.isOut
+      ? Promise.reject(new Error('the store is out'))
+      : Promise.resolve({ value, version: state.version, storeNow: clock.now() })
+  const store: Store = {
+    readOperatorState: () => read(state.operators),
+    // Waits on the moved clock, as the store does, so that a reader does not spin.
+    awaitOperatorState: (revision, wait) =>
+      new Promise(resolve => clock.after(wait, () => resolve(undefined))).then(() =>
+        read(state.operators.revision > revision),
+      ),
+    readUpstreams: () => read(state.upstreams),
+    readRollouts: () => read([]),
+    writeRollout: () => Promise.resolve('written'),
+    readBoxes: () => Promise.resolve([]),
+    writeBox: () => Promise.resolve(),
+    removeBoxes: () => Promise.resolve(),
+  }
+  const lines: TestGateway['lines'] = []
+  const gateway = createGateway({
+    settings: {
+      box: 'box-1',
+      dataCentre: 'ebene',
+      listen: { entry: '', readiness: '', directory: '', peers: '' },
+      peerSecret: 'secret of the tests',
+      keyRevocation: 5_000,
+      newsWithin: 2_000,
+      addressLifetime: 2_000,
+      stopWithin: 7_000,
+      retries: { ratio: 0.9, slack: 50, window: 10_000 },
+      confidenceThreshold: 45,
+    },
+    identity: {
+      box: 'box-1',
+      incarnation: '1',
+      dataCentre: 'ebene',
+      entryAddress: '127.0.0.1:1',
+      peerAddress: '127.0.0.1:2',
+    },
+    clock,
+    random: createSeededRandom(1),
+    log: { note: () => {}, request: fields => void lines.push(fields) },
+    metrics: createGatewayMetrics(),
+    dialect: testDialect,
+    store,
+    transport: { listen() {}, link() {}, send: () => false, close: () => Promise.resolve() },
+    onConfiguration: () => {},
+  })
+  const entry = await startEntryServer({
+    listen: '127.0.0.1:0',
+    clock,
+    bodyBytes: () => content.limits.bodyBytes,
+    handle: (request, answer) => gateway.handle(request, answer),
+  })
+  gateway.start()
+  const until = async (condition: () => boolean) => {
+    for (let step = 0; step < MOST_STEPS && !condition(); step++) await clock.advance(STEP)
+    if (!condition()) throw new Error('what was waited for did not come about')
+  }
+  await until(() => gateway.isReady())
+  return {
+    gateway,
+    clock,
+    entry,
+    store: state,
+    lines,
+    until,
+    async close() {
+      await gateway.stop()
+      entry.close()
+      for (const upstream of upstreams) upstream.close()
+    },
+  }
+}
+
+const STEP = 5
+const MOST_STEPS = 4_000
--- /dev/null
+++ b/packages/gateway/test/upstreamChannels.test.ts
@@ -0,0 +1,93 @@
+import { createServer, type AddressInfo, type Socket } from 'node:net'
+import { expect } from 'chai'
+import { UpstreamChannels, type ExchangeListener, type ExchangeRequest } from '../src/index.js'
+
+const REQUEST: ExchangeRequest = {
+  method: 'POST',
+  target: '/',
+  headers: [],
+  body: Buffer.from('hello'),
+  onFreshChannel: false,
+}
+
+const WITHOUT_LENGTH = 'HTTP/1.1 200 OK\r\nsigned: 1\r\n\r\nhalf of it'
+
+type Ending = 'whole' | 'failed'
+
+/** An upstream that reads nothing, so that destroying its socket resets the connection. */
+async function startMuteServer(onConnection: (socket: Socket) => void) {
+  const server = createServer({ pauseOnConnect: true }, onConnection)
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
+}
+
+function sendOne(address: string, onChunk: () => void): Promise<Ending> {
+  const channels = new UpstreamChannels(address)
+  return new Promise(resolve => {
+    const listener: ExchangeListener = {
+      onHead() {},
+      onChunk,
+      onEnd: () => resolve('whole'),
+      onFailure: () => resolve('failed'),
+    }
+    channels.send(REQUEST, listener)
+  })
+}
+
+describe('connections to an upstream', () => {
+  it('do not give an answer without a length for whole when the connection is reset', async () => {
+    let upstream: Socket | undefined
+    const { server, address } = await startMuteServer(socket => {
+      upstream = socket
+      socket.write(WITHOUT_LENGTH)
+    })
+    const ending = await sendOne(address, () => upstream!.destroy())
+    server.close()
+    expect(ending).to.equal('failed')
+  })
+
+  it('give an answer without a length for whole when the upstream closes the connection', async () => {
+    const { server, address } = await startMuteServer(socket => {
+      socket.resume()
+      socket.end(WITHOUT_LENGTH)
+    })
+    const ending = await sendOne(address, () => {})
+    server.close()
+    expect(ending).to.equal('whole')
+  })
+
+  it('say that nothing was sent when the upstream cannot be reached', async () => {
+    const { server, address } = await startMuteServer(() => {})
+    await new Promise(resolve => server.close(resolve))
+    const wasSent = await new Promise(resolve => {
+      const listener = { onHead() {}, onChunk() {}, onEnd() {} }
+      new UpstreamChannels(address).send(REQUEST, {
+        ...listener,
+        onFailure: (_error, sent) => resolve(sent),
+      })
+    })
+    expect(wasSent).to.equal(false)
+  })
+
+  it('are used again, but not for a request that wants one of its own', async () => {
+    let connections = 0
+    const { server, address } = await startMuteServer(socket => {
+      connections++
+      socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'))
+      socket.resume()
+    })
+    const channels = new UpstreamChannels(address)
+    const send = (onFreshChannel: boolean) =>
+      new Promise<void>(resolve => {
+        const listener = { onHead() {}, onChunk() {}, onFailure: () => resolve() }
+        channels.send({ ...REQUEST, onFreshChannel }, { ...listener, onEnd: resolve })
+      })
+    await send(false)
+    await send(false)
+    expect(connections).to.equal(1)
+    await send(true)
+    expect(connections).to.equal(2)
+    channels.retire()
+    server.close()
+  })
+})
