Gossip for 83 boxes: hearsay as a few numbers, news announced and asked for; a box serves once it knows enough

Change: hearsay names a box by hash with its run, sequence and state; answers are told first-hand only; lists and configurations are no longer pushed whole to all but announced, and asked for by whoever lacks them.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -64,6 +64,9 @@
 const ROLLOUT_EVERY: Milliseconds = 200
 const ENTRIES_EVERY: Milliseconds = 12_000
 const ENTRIES_AFTER_FAILURE: Milliseconds = 700
+const LOOK_FOR_BOXES_EVERY: Milliseconds = 1_500
+/** News that come together are told together. */
+const ANNOUNCE_AFTER: Milliseconds = 5
 /** Boxes that read the store for all others. Two, so that the loss of one leaves no gap. */
 const READERS = 2
 /** Part of the time for honouring a taken-away key after which the box stops, unless it has a younger proof. */
@@ -89,6 +92,8 @@
   let state: GatewayState = 'starting'
   let isStopped = false
   let hasEntry = false
+  let isAnnouncing = false
+  let lookedAt = -Infinity
   let leavingSince: Milliseconds | undefined
 
   const operators = new OperatorTask({
@@ -119,7 +124,7 @@
     upstreams,
     rank,
     allAnswers: () => [...rollouts.answers, ...peers.answers()],
-    othersInFlight: () => peers.othersInFlight(),
+    othersBusy: () => peers.othersBusy(),
   })
   const reader = new StoreReader({
     clock,
@@ -131,18 +136,16 @@
     rollouts,
     isReader: () => rank() < READERS,
     newsWithin: settings.newsWithin,
-    onOperatorsRead: () => peers.push({ type: 'operators', state: operators.state }),
-    onUpstreamsRead: () => peers.push({ type: 'upstreams', ...currentUpstreams() }),
+    onOperatorsRead: announce,
+    onUpstreamsRead: announce,
   })
   const peers: PeerTask = new PeerTask({
     self: identity,
     clock,
     log,
     transport,
-    own: () => ({
-      state,
-      answers: rollouts.answers,
-      inFlight: rollouts.isUnderWay ? upstreams.inFlight() : [],
+    content: () => ({
+      own: { state, answers: rollouts.answers, busy: rollouts.ownBusy },
       ...(operators.state.revision > 0 && {
         operators: { revision: operators.state.revision, age: operators.age },
       }),
@@ -168,8 +171,14 @@
       confirm(reader.listProof, provedAt)
       return 'known'
     },
-    onOperators: next => void operators.take(next),
-    onUpstreams: (entries, version) => void upstreams.take(entries, version),
+    onOperators(next) {
+      const before = operators.state.revision
+      if (operators.take(next) && operators.state.revision > before) announce()
+    },
+    onUpstreams(entries, version) {
+      if (upstreams.take(entries, version)) announce()
+    },
+    onUnknownBox: () => void lookForBoxes(),
     onRollouts: statuses => rollouts.takeStatuses(statuses),
     onWork: (box, entries) => work.takePeerWork(box, entries),
     onStoreClock: (storeNow, at) => rollouts.noteStoreClock(storeNow, at),
@@ -181,9 +190,28 @@
     return { version: upstreams.version, entries: upstreams.listed }
   }
 
+  /** The box serves as soon as it knows the configuration and the upstreams. */
+  function beginToServe(): void {
+    if (state !== 'starting' || !operators.index || upstreams.version === 0) return
+    state = 'serving'
+    log.note('serving', { after: Math.round(clock.now() - startedAt) })
+  }
+
+  /** Tells the neighbours of news now; those that lack it ask for it. */
+  function announce(): void {
+    beginToServe()
+    if (isAnnouncing) return
+    isAnnouncing = true
+    clock.after(ANNOUNCE_AFTER, () => {
+      isAnnouncing = false
+      peers.tick()
+    })
+  }
+
   /** This box's place by name among the boxes that serve. */
   function rank(): number {
-    return peers.live().filter(peer => peer.state === 'serving' && peer.box < identity.box).length
+    return peers.live().filter(peer => peer.state === 'serving' && peer.entry.box < identity.box)
+      .length
   }
 
   const services: GatewayServices = {
@@ -263,9 +291,10 @@
   }
 
   async function enterSelf(entries: readonly BoxEntry[]): Promise<void> {
-    const { box, dataCentre, peerAddress } = identity
+    const { box, dataCentre, entryAddress, peerAddress } = identity
     const known = entries.find(entry => entry.box === box)
-    if (known?.peerAddress !== peerAddress) await store.writeBox({ box, dataCentre, peerAddress })
+    if (known?.peerAddress !== peerAddress)
+      await store.writeBox({ box, dataCentre, entryAddress, peerAddress })
     if (!hasEntry) {
       hasEntry = true
       // Others that entered at the same moment are seen by a second look soon after.
@@ -281,10 +310,17 @@
     }
   }
 
+  /** Others speak of a box that entered itself since the last look. */
+  async function lookForBoxes(): Promise<void> {
+    if (clock.now() - lookedAt < LOOK_FOR_BOXES_EVERY) return
+    lookedAt = clock.now()
+    await readEntries()
+  }
+
   /** One box clears away the entries of those that are gone. */
   async function removeForgotten(entries: readonly BoxEntry[]): Promise<void> {
     if (rank() > 0 || clock.now() - startedAt < ENTRIES_EVERY) return
-    const silent = new Set(peers.forgotten())
+    const silent = new Set(peers.silentEntries())
     const gone = entries.filter(entry => silent.has(entry.box)).map(entry => entry.box)
     if (gone.length === 0) return
     await store.removeBoxes(gone)
@@ -299,14 +335,7 @@
       services.stalls.start()
       void keepEntry()
       repeat(GOSSIP_EVERY, () => peers.tick())
-      repeat(ROLLOUT_EVERY, () => {
-        if (state === 'starting' && operators.index && upstreams.version > 0) {
-          state = 'serving'
-          log.note('serving', { after: clock.now() - startedAt })
-          peers.tick()
-        }
-        rollouts.tick()
-      })
+      repeat(ROLLOUT_EVERY, () => rollouts.tick())
     },
     handle(request, answer) {
       const fields = dialect.readRequest(request.headers)
@@ -321,7 +350,10 @@
       })
     },
     addresses(dataCentre) {
-      const others = peers.live().filter(peer => peer.state === 'serving')
+      const others = peers
+        .live()
+        .filter(peer => peer.state === 'serving')
+        .map(peer => peer.entry)
       const own = state === 'serving' ? [{ ...identity }] : []
       const known = [...own, ...others]
       const near = known.filter(box => box.dataCentre === dataCentre)
--- /dev/null
+++ b/packages/gateway/src/tasks/knownBoxes.ts
@@ -0,0 +1,101 @@
+import { hashText, type AnswerCount, type Milliseconds } from '@yewkeel/decisions'
+import { GATEWAY_STATES, type GatewayState, type Hearsay, type OwnReport } from '../types/gossip.js'
+import type { BoxEntry } from '../types/ports.js'
+
+/** What was heard of another box. */
+export interface KnownBox {
+  entry: BoxEntry
+  /** Hash of the name of its present run. */
+  run: number
+  state: GatewayState
+  /** Rises while the run lasts. */
+  sequence: number
+  /** Its requests under way on versions that are being replaced. */
+  busy: number
+  /** Its answers by version, heard from itself alone. */
+  answers: readonly AnswerCount[]
+  heardAt: Milliseconds
+}
+
+/** A box that was not heard of for this long is not told to callers. Four rounds of gossip. */
+export const SILENT_AFTER: Milliseconds = 1_600
+/** Then it is forgotten. */
+const FORGOTTEN_AFTER: Milliseconds = 30_000
+
+/** The other boxes: entered in the store, and heard of. */
+export class KnownBoxes {
+  #entries = new Map<string, BoxEntry>()
+  /** Boxes by the hash of their name, as hearsay names them. */
+  readonly #byHash = new Map<number, string>()
+  readonly #boxes = new Map<string, KnownBox>()
+
+  constructor(private readonly self: string) {}
+
+  get entries(): BoxEntry[] {
+    return [...this.#entries.values()]
+  }
+
+  takeEntries(entries: readonly BoxEntry[]): void {
+    this.#entries = new Map()
+    for (const entry of entries) this.addEntry(entry)
+  }
+
+  addEntry(entry: BoxEntry): void {
+    this.#entries.set(entry.box, entry)
+    this.#byHash.set(hashText(entry.box), entry.box)
+  }
+
+  live(now: Milliseconds): KnownBox[] {
+    return [...this.#boxes.values()].filter(({ heardAt }) => now - heardAt < SILENT_AFTER)
+  }
+
+  /** Entries of boxes that nothing was heard of for long. */
+  silentEntries(): string[] {
+    return [...this.#entries.keys()].filter(box => box !== this.self && !this.#boxes.has(box))
+  }
+
+  answers(): AnswerCount[] {
+    return [...this.#boxes.values()].flatMap(({ answers }) => answers)
+  }
+
+  forgetSilent(now: Milliseconds): void {
+    for (const [box, { heardAt }] of this.#boxes)
+      if (now - heardAt > FORGOTTEN_AFTER) this.#boxes.delete(box)
+  }
+
+  /** A box speaks of itself. Gives its state before, if that has changed. */
+  hearBox(entry: BoxEntry, run: number, report: OwnReport, now: Milliseconds): boolean {
+    const before = this.#boxes.get(entry.box)
+    const { state, sequence, busy, answers } = report
+    this.addEntry(entry)
+    this.#boxes.set(entry.box, { entry, run, state, sequence, busy, answers, heardAt: now })
+    return before?.state !== state
+  }
+
+  /** What others say of a box. False if no entry names it. */
+  hearOf([boxHash, run, sequence, stateIndex, busy]: Hearsay, now: Milliseconds): boolean {
+    const name = this.#byHash.get(boxHash)
+    const entry = name === undefined ? undefined : this.#entries.get(name)
+    if (!entry) return boxHash === hashText(this.self)
+    if (entry.box === this.self) return true
+    const known = this.#boxes.get(entry.box)
+    if (known?.run === run && known.sequence >= sequence) return true
+    // Sequences of two runs cannot be compared: hearsay of another run counts once this one is silent.
+    if (known && known.run !== run && now - known.heardAt < SILENT_AFTER) return true
+    const state = GATEWAY_STATES[stateIndex] ?? 'starting'
+    const answers = known?.run === run ? known.answers : []
+    this.#boxes.set(entry.box, { entry, run, state, sequence, busy, answers, heardAt: now })
+    return true
+  }
+
+  /** All that is known of others, for those that do not hear them. */
+  hearsay(now: Milliseconds): Hearsay[] {
+    return this.live(now).map(({ entry, run, sequence, state, busy }) => [
+      hashText(entry.box),
+      run,
+      sequence,
+      GATEWAY_STATES.indexOf(state),
+      busy,
+    ])
+  }
+}
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -1,5 +1,6 @@
 import { voterOf, type PeerIdentity, type PeerTransport } from '@yewkeel/box'
 import {
+  hashText,
   ringNeighbours,
   vouchedAt,
   type AnswerCount,
@@ -8,160 +9,137 @@
   type Milliseconds,
   type RolloutStatus,
 } from '@yewkeel/decisions'
-import type {
-  BoxReport,
-  GatewayMessage,
-  GatewayState,
-  Gossip,
-  ListProofAge,
-  ProofAge,
-} from '../types/gossip.js'
+import type { GatewayMessage, Gossip, ListProofAge, OwnReport, ProofAge } from '../types/gossip.js'
 import type { BoxEntry, EventLog, OperatorState } from '../types/ports.js'
 import type { WorkEntry } from './engineWork.js'
+import { KnownBoxes, type KnownBox } from './knownBoxes.js'
 
-/** What a box says of itself and of the store. */
-export interface OwnReport {
-  state: GatewayState
-  answers: AnswerCount[]
-  inFlight: [string, number][]
-  operators?: ProofAge
-  upstreams?: ListProofAge
-  rollouts: RolloutStatus[]
-  work: WorkEntry[]
-  storeNow?: Milliseconds
+/** What a box tells of itself and of the store in one round. */
+export interface GossipContent extends Pick<
+  Gossip,
+  'operators' | 'upstreams' | 'rollouts' | 'work' | 'storeNow'
+> {
+  own: Omit<OwnReport, 'sequence'>
 }
 
+/** Whether this box has what a neighbour vouches for. */
+export type ProofAnswer = 'known' | 'wanted'
+
 export interface PeerTaskOptions {
   self: PeerIdentity
   clock: Clock
   log: EventLog
   transport: PeerTransport<GatewayMessage>
-  own(): OwnReport
+  content(): GossipContent
   /** A neighbour vouches that the store's newest was this at `provedAt`, on this box's clock. */
-  onOperatorsProved(revision: number, provedAt: Milliseconds): 'known' | 'wanted'
-  onUpstreamsProved(list: ListProofAge, provedAt: Milliseconds): 'known' | 'wanted'
+  onOperatorsProved(revision: number, provedAt: Milliseconds): ProofAnswer
+  onUpstreamsProved(list: ListProofAge, provedAt: Milliseconds): ProofAnswer
   onOperators(state: OperatorState): void
   onUpstreams(entries: ListedUpstream[], version: number): void
   onRollouts(statuses: RolloutStatus[]): void
   onWork(box: string, entries: WorkEntry[]): void
   onStoreClock(storeNow: Milliseconds, at: Milliseconds): void
+  /** Others speak of a box that no entry names. */
+  onUnknownBox(): void
   currentOperators(): OperatorState
   currentUpstreams(): { version: number; entries: ListedUpstream[] }
 }
 
-interface KnownBox {
-  report: BoxReport
-  heardAt: Milliseconds
-}
+/** An answer that did not come within this is asked for again, of whoever speaks next. */
+const ASK_AGAIN_AFTER: Milliseconds = 150
 
-/** A box that was not heard of for this long is not told to callers. Four rounds of gossip. */
-const SILENT_AFTER: Milliseconds = 1_600
-/** Then it is forgotten. */
-const FORGOTTEN_AFTER: Milliseconds = 30_000
+type MessageHandlers = {
+  [Type in GatewayMessage['type']]: (
+    from: PeerIdentity,
+    message: Extract<GatewayMessage, { type: Type }>,
+  ) => void
+}
 
 /** Boxes tell their neighbours what they and others know; everything is useless when it is late, and small. */
 export class PeerTask {
-  readonly #boxes = new Map<string, KnownBox>()
+  readonly #known: KnownBoxes
   /** Newest stamp of each neighbour by voter, and when it came. */
   readonly #stamps = new Map<string, { stamp: Milliseconds; at: Milliseconds }>()
   /** The present run of each neighbour that there is a link to. */
   readonly #voters = new Map<string, string>()
   readonly #asked = new Map<string, Milliseconds>()
-  #entries = new Map<string, BoxEntry>()
   #sequence = 0
 
+  readonly #handlers: MessageHandlers = {
+    gossip: (from, message) => this.#hearGossip(from, message),
+    work: (from, message) => this.options.onWork(from.box, message.entries),
+    'operators-wanted': from =>
+      this.#reply(from, { type: 'operators', state: this.options.currentOperators() }),
+    operators: (_from, message) => this.options.onOperators(message.state),
+    'upstreams-wanted': from =>
+      this.#reply(from, { type: 'upstreams', ...this.options.currentUpstreams() }),
+    upstreams: (_from, message) => this.options.onUpstreams(message.entries, message.version),
+  }
+
   constructor(private readonly options: PeerTaskOptions) {
+    this.#known = new KnownBoxes(options.self.box)
     options.transport.listen({
-      onMessage: (from, message) => this.#hear(from, message),
+      onMessage: (from, message) => this.#handlers[message.type]?.(from, message as never),
       onConnected: peer => void this.#voters.set(peer.box, voterOf(peer)),
     })
   }
 
   /** Boxes entered in the store: where links may be made to. */
   takeEntries(entries: readonly BoxEntry[]): void {
-    this.#entries = new Map(entries.map(entry => [entry.box, entry]))
+    this.#known.takeEntries(entries)
     this.#link()
   }
 
-  get entries(): BoxEntry[] {
-    return [...this.#entries.values()]
-  }
-
   /** Other boxes that were heard of a moment ago. */
-  live(): BoxReport[] {
-    const now = this.options.clock.now()
-    return [...this.#boxes.values()]
-      .filter(({ heardAt }) => now - heardAt < SILENT_AFTER)
-      .map(({ report }) => report)
+  live(): KnownBox[] {
+    return this.#known.live(this.options.clock.now())
   }
 
   /** Boxes among the entries that have been silent for long. */
-  forgotten(): string[] {
-    return [...this.#entries.keys()].filter(
-      box => box !== this.options.self.box && !this.#boxes.has(box),
-    )
+  silentEntries(): string[] {
+    return this.#known.silentEntries()
   }
 
-  /** All that other boxes counted since they began; silent boxes' counts still stand. */
+  /** What neighbours counted; the counts of those that fell silent still stand. */
   answers(): AnswerCount[] {
-    return [...this.#boxes.values()].flatMap(({ report }) => report.answers)
+    return this.#known.answers()
   }
 
-  othersInFlight(): Map<string, number> {
-    const counts = new Map<string, number>()
-    for (const report of this.live())
-      for (const [key, count] of report.inFlight) counts.set(key, (counts.get(key) ?? 0) + count)
-    return counts
+  /** Requests of other boxes under way on versions that are being replaced. */
+  othersBusy(): number {
+    return this.live().reduce((sum, { busy }) => sum + busy, 0)
   }
 
-  /** One round of gossip. */
+  /** One round of gossip. Whoever lacks what it tells of asks for it. */
   tick(): void {
     const now = this.options.clock.now()
-    for (const [box, { heardAt }] of this.#boxes)
-      if (now - heardAt > FORGOTTEN_AFTER) this.#boxes.delete(box)
+    this.#known.forgetSilent(now)
     this.#link()
     const message = this.#compose(now)
-    for (const { box } of this.#neighbours()) {
-      const voter = this.#voters.get(box)
-      if (voter) this.options.transport.send(voter, this.#withEcho(message, voter, now))
-    }
+    this.#toNeighbours(voter => this.#withEcho(message, voter, now))
   }
 
-  /** Sends what is newest to all neighbours at once. */
+  /** Tells all neighbours at once. */
   push(message: GatewayMessage): void {
+    this.#toNeighbours(() => message)
+  }
+
+  #toNeighbours(messageFor: (voter: string) => GatewayMessage): void {
     for (const { box } of this.#neighbours()) {
       const voter = this.#voters.get(box)
-      if (voter) this.options.transport.send(voter, message)
+      if (voter) this.options.transport.send(voter, messageFor(voter))
     }
   }
 
   #compose(now: Milliseconds): Gossip {
-    const { self, own } = this.options
-    const report = own()
-    const { box, incarnation, dataCentre, entryAddress, peerAddress } = self
-    const { state, answers, inFlight } = report
-    const sequence = ++this.#sequence
-    const mine = {
-      box,
-      incarnation,
-      dataCentre,
-      entryAddress,
-      peerAddress,
-      state,
-      sequence,
-      answers,
-      inFlight,
-    }
+    const { own, ...content } = this.options.content()
     return {
       type: 'gossip',
       stamp: now,
+      own: { ...own, sequence: ++this.#sequence },
       // Where every box is linked to every other, each speaks for itself alone.
-      reports: this.#isMesh() ? [mine] : [mine, ...this.live()],
-      rollouts: report.rollouts,
-      work: report.work,
-      ...(report.operators && { operators: report.operators }),
-      ...(report.upstreams && { upstreams: report.upstreams }),
-      ...(report.storeNow !== undefined && { storeNow: report.storeNow }),
+      others: this.#isMesh() ? [] : this.#known.hearsay(now),
+      ...content,
     }
   }
 
@@ -171,15 +149,12 @@
   }
 
   #neighbours(): BoxEntry[] {
-    const entries = [...this.#entries.values()]
-    return ringNeighbours(this.options.self.box, entries, entry => entry.box)
+    return ringNeighbours(this.options.self.box, this.#known.entries, entry => entry.box)
   }
 
   #isMesh(): boolean {
-    return (
-      this.#neighbours().length ===
-      this.#entries.size - (this.#entries.has(this.options.self.box) ? 1 : 0)
-    )
+    const others = this.#known.entries.filter(entry => entry.box !== this.options.self.box)
+    return this.#neighbours().length === others.length
   }
 
   #link(): void {
@@ -187,83 +162,42 @@
     this.options.transport.link(peers)
   }
 
-  #hear(from: PeerIdentity, message: GatewayMessage): void {
-    const voter = voterOf(from)
-    switch (message.type) {
-      case 'gossip':
-        return this.#hearGossip(from, voter, message)
-      case 'work':
-        return this.options.onWork(from.box, message.entries)
-      case 'operators-wanted':
-        this.options.transport.send(voter, {
-          type: 'operators',
-          state: this.options.currentOperators(),
-        })
-        return
-      case 'operators':
-        return this.options.onOperators(message.state)
-      case 'upstreams-wanted':
-        this.options.transport.send(voter, {
-          type: 'upstreams',
-          ...this.options.currentUpstreams(),
-        })
-        return
-      case 'upstreams':
-        return this.options.onUpstreams(message.entries, message.version)
-    }
-  }
-
-  #hearGossip(from: PeerIdentity, voter: string, message: Gossip): void {
-    const now = this.options.clock.now()
-    this.#stamps.set(voter, { stamp: message.stamp, at: now })
-    if (!this.#entries.has(from.box)) {
-      const { box, dataCentre, peerAddress } = from
-      this.#entries.set(box, { box, dataCentre, peerAddress })
-    }
-    for (const report of message.reports) this.#takeReport(report, report.box === from.box, now)
-    this.options.onRollouts(message.rollouts)
-    this.options.onWork(from.box, message.work)
-    if (message.storeNow !== undefined) this.options.onStoreClock(message.storeNow, now)
-    if (message.echo) this.#takeProofs(voter, message, message.echo)
+  #reply(to: PeerIdentity, message: GatewayMessage): void {
+    this.options.transport.send(voterOf(to), message)
   }
 
-  #takeReport(report: BoxReport, isFirstHand: boolean, now: Milliseconds): void {
-    if (report.box === this.options.self.box) return
-    const entry = this.#boxes.get(report.box)
-    const known = entry?.report
-    if (known?.incarnation === report.incarnation && known.sequence >= report.sequence) return
-    // Sequences of two incarnations cannot be compared: hearsay of another one counts once this one is silent.
-    const isOther = known !== undefined && known.incarnation !== report.incarnation
-    const isSilent = entry !== undefined && now - entry.heardAt >= SILENT_AFTER
-    if (isOther && !isFirstHand && !isSilent) return
-    if (known?.state !== report.state)
-      this.options.log.note('peer', { peer: report.box, state: report.state, before: known?.state })
-    this.#boxes.set(report.box, { report, heardAt: now })
+  #hearGossip(from: PeerIdentity, message: Gossip): void {
+    const { clock, log, onRollouts, onWork, onStoreClock, onUnknownBox } = this.options
+    const now = clock.now()
+    this.#stamps.set(voterOf(from), { stamp: message.stamp, at: now })
+    const { box, dataCentre, entryAddress, peerAddress } = from
+    const entry = { box, dataCentre, entryAddress, peerAddress }
+    const isChanged = this.#known.hearBox(entry, hashText(from.incarnation), message.own, now)
+    if (isChanged) log.note('peer', { peer: box, state: message.own.state })
+    for (const hearsay of message.others) if (!this.#known.hearOf(hearsay, now)) onUnknownBox()
+    onRollouts(message.rollouts)
+    onWork(box, message.work)
+    if (message.storeNow !== undefined) onStoreClock(message.storeNow, now)
+    if (message.echo) this.#takeProofs(from, message, message.echo)
   }
 
-  #takeProofs(voter: string, message: Gossip, echo: NonNullable<Gossip['echo']>): void {
+  #takeProofs(from: PeerIdentity, message: Gossip, echo: NonNullable<Gossip['echo']>): void {
     const { operators, upstreams } = message
+    const { onOperatorsProved, onUpstreamsProved } = this.options
     const provedAt = ({ age }: ProofAge) =>
       vouchedAt({ echo: echo.stamp, heldFor: echo.heldFor, age })
-    if (operators) {
-      const answer = this.options.onOperatorsProved(operators.revision, provedAt(operators))
-      if (answer === 'wanted') this.#ask(voter, { type: 'operators-wanted' })
-    }
-    if (upstreams) {
-      const answer = this.options.onUpstreamsProved(upstreams, provedAt(upstreams))
-      if (answer === 'wanted') this.#ask(voter, { type: 'upstreams-wanted' })
-    }
+    if (operators && onOperatorsProved(operators.revision, provedAt(operators)) === 'wanted')
+      this.#ask(from, { type: 'operators-wanted' })
+    if (upstreams && onUpstreamsProved(upstreams, provedAt(upstreams)) === 'wanted')
+      this.#ask(from, { type: 'upstreams-wanted' })
   }
 
   /** Asks one neighbour at a time for what it has. */
-  #ask(voter: string, message: GatewayMessage): void {
+  #ask(neighbour: PeerIdentity, message: GatewayMessage): void {
     const now = this.options.clock.now()
     const last = this.#asked.get(message.type) ?? -Infinity
     if (now - last < ASK_AGAIN_AFTER) return
     this.#asked.set(message.type, now)
-    this.options.transport.send(voter, message)
+    this.#reply(neighbour, message)
   }
 }
-
-/** An answer that did not come within this is asked for again, of whoever speaks next. */
-const ASK_AGAIN_AFTER: Milliseconds = 150
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -26,8 +26,8 @@
   rank(): number
   /** Answers that all boxes have seen, this one's among them. */
   allAnswers(): AnswerCount[]
-  /** Requests under way by `service version` on other boxes. */
-  othersInFlight(): Map<string, number>
+  /** Requests of other boxes under way on versions that are being replaced. */
+  othersBusy(): number
 }
 
 /** A box steps in for the one before it in rank when nothing has come of a decision for this long. */
@@ -189,7 +189,7 @@
       ...(status && { status }),
       storeNow,
       targetUpstreams: versions.get(order.target) ?? 0,
-      oldInFlight: this.#oldInFlight(order),
+      oldInFlight: this.ownBusy + this.options.othersBusy(),
       isTargetBad,
     })
     if (next === undefined) {
@@ -200,14 +200,13 @@
     void this.#write(order, next, status, storeNow)
   }
 
-  #oldInFlight(order: RolloutOrder): number {
-    const counts = this.options.othersInFlight()
-    for (const [key, count] of this.options.upstreams.inFlight())
-      counts.set(key, (counts.get(key) ?? 0) + count)
+  /** This box's requests under way on versions that are being replaced. */
+  get ownBusy(): number {
     let sum = 0
-    for (const [key, count] of counts) {
-      const [service, version] = key.split(' ')
-      if (service === order.service && version !== order.target) sum += count
+    for (const order of this.#orders) {
+      if (isOver(order, this.#statuses.get(order.service))) continue
+      for (const [version, count] of this.options.upstreams.inFlight(order.service))
+        if (version !== order.target) sum += count
     }
     return sum
   }
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -130,15 +130,14 @@
     return versions
   }
 
-  /** This box's exchanges under way by `service version`. */
-  inFlight(): [string, number][] {
+  /** This box's exchanges under way at each version of a service. */
+  inFlight(service: string): Map<string, number> {
     const counts = new Map<string, number>()
     for (const { listed, inFlight } of this.#upstreams.values()) {
-      if (inFlight === 0) continue
-      const key = `${listed.service} ${listed.version}`
-      counts.set(key, (counts.get(key) ?? 0) + inFlight)
+      if (listed.service !== service || inFlight === 0) continue
+      counts.set(listed.version, (counts.get(listed.version) ?? 0) + inFlight)
     }
-    return [...counts]
+    return counts
   }
 
   noteLoad(upstream: Upstream, load: number): void {
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -2,24 +2,25 @@
 import type { WorkEntry } from '../tasks/engineWork.js'
 import type { OperatorState } from './ports.js'
 
-export type GatewayState = 'starting' | 'serving' | 'leaving'
-
-/** Another box as this one knows it, at first hand or by hearsay. */
-export interface BoxReport {
-  box: string
-  incarnation: string
-  dataCentre: string
-  entryAddress: string
-  peerAddress: string
+/** The order is part of the protocol between boxes. */
+export const GATEWAY_STATES = ['starting', 'serving', 'leaving'] as const
+
+export type GatewayState = (typeof GATEWAY_STATES)[number]
+
+/** What a box says of itself. */
+export interface OwnReport {
   state: GatewayState
-  /** Rises while the box runs. */
+  /** Rises while the run lasts. */
   sequence: number
+  /** Requests under way on versions that are being replaced. */
+  busy: number
   /** Answers by version since the box began. Only while a roll-out is under way. */
   answers: AnswerCount[]
-  /** Requests under way by `service version`. Only while a roll-out is under way. */
-  inFlight: [serviceVersion: string, count: number][]
 }
 
+/** What a box says of another: hash of its name, hash of its run, sequence, index of its state, busy. */
+export type Hearsay = [box: number, run: number, sequence: number, state: number, busy: number]
+
 /** A proof that something read from the store was the newest there. */
 export interface ProofAge {
   revision: number
@@ -39,7 +40,9 @@
   stamp: Milliseconds
   /** The receiver's own newest stamp, and how long the sender has held it. */
   echo?: { stamp: Milliseconds; heldFor: Milliseconds }
-  reports: BoxReport[]
+  own: OwnReport
+  /** Empty where every box is linked to every other. */
+  others: Hearsay[]
   operators?: ProofAge
   upstreams?: ListProofAge
   rollouts: RolloutStatus[]
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -27,6 +27,8 @@
 export interface BoxEntry {
   box: string
   dataCentre: string
+  /** Where callers connect, `host:port`. */
+  entryAddress: string
   /** Where boxes connect, `host:port`. */
   peerAddress: string
 }
