An answer is slow only if its prompt and what was before it do not explain it

Ruled out: leadership and news (an order reached 83 boxes in 0.1 s; active at 2.5 s, completed at 22.7 s). Change: beside four times the usual time, an answer must take 3.5 times what its prompt and the unread ones explain.

--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -1,5 +1,6 @@
 import { nextModel, type ExchangeOutcome, type PromptWork } from '@yewkeel/decisions'
 import type { ReadingPrompt } from '../tasks/engineWork.js'
+import type { AnswerBegin } from '../tasks/rolloutTask.js'
 import type { Upstream } from '../tasks/upstreamDirectory.js'
 import { EventRelay } from './eventRelay.js'
 import type { AnswerHead, ExchangeFault } from './exchangeWithUpstream.js'
@@ -83,6 +84,7 @@
   #watched: WatchedStream | undefined
   #firstEvent: number | undefined
   #lastPiece: number | undefined
+  #slowness = 1
   #reading: ReadingPrompt | undefined
   readonly #startedAt: number
 
@@ -136,12 +138,12 @@
     this.#head = head
     if (head.fields.load !== undefined) run.services.upstreams.noteLoad(upstream, head.fields.load)
     if (!isStream(head)) return true
-    this.#reading?.answered()
+    this.#slowness = this.#reading?.answered() ?? 1
     if (head.fields.confidence !== undefined) run.noteConfidence(head.fields.confidence)
     const next = this.#largerModel(head, model)
     if (next === undefined) return true
     run.noteTry(upstream, 'good', `confidence ${head.fields.confidence}`)
-    run.noteAnswer(upstream, model, true, this.#sinceStart())
+    run.noteAnswer(upstream, model, true, this.#begin(this.#sinceStart()))
     this.#settle({ type: 'doubted', confidence: head.fields.confidence ?? 0, next })
     return false
   }
@@ -189,7 +191,7 @@
     if (relay.isFramed && !head.fields.isFramed)
       return this.#fail('spoiled', true, 'its end cannot be seen')
     run.noteTry(upstream, 'good', 'complete')
-    run.noteAnswer(upstream, model, true, this.#firstEvent)
+    run.noteAnswer(upstream, model, true, this.#begin(this.#firstEvent))
     this.#settle({ type: 'complete' })
   }
 
@@ -233,6 +235,10 @@
     return true
   }
 
+  #begin(took: number | undefined): AnswerBegin | undefined {
+    return took === undefined ? undefined : { took, slowness: this.#slowness }
+  }
+
   #sinceStart(): number {
     return this.run.services.clock.now() - this.#startedAt
   }
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -8,6 +8,7 @@
 } from '@yewkeel/decisions'
 import type { GatewayServices } from '../types/services.js'
 import type { CallerAnswer, OutgoingFields } from '../types/ports.js'
+import type { AnswerBegin } from '../tasks/rolloutTask.js'
 import type { Upstream } from '../tasks/upstreamDirectory.js'
 import type { AdmittedRequest } from './admitCaller.js'
 import {
@@ -190,11 +191,11 @@
     upstream: Upstream,
     model: string | undefined,
     isGood: boolean,
-    firstEvent: Milliseconds | undefined,
+    begin: AnswerBegin | undefined,
   ): void {
     const { service, version } = upstream.listed
     const key = { service, version, route: this.route.name, model: model ?? '' }
-    this.services.rollouts.noteAnswer(key, isGood, firstEvent)
+    this.services.rollouts.noteAnswer(key, isGood, begin)
   }
 
   noteConfidence(confidence: number): void {
--- a/packages/gateway/src/tasks/engineWork.ts
+++ b/packages/gateway/src/tasks/engineWork.ts
@@ -37,8 +37,8 @@
 
 /** A prompt that an engine has still to read. */
 export interface ReadingPrompt {
-  /** The answer began: what was expected is compared with it. */
-  answered(): void
+  /** The answer began. Gives how many times longer that took than was expected. */
+  answered(): number
   /** The exchange ended, however. */
   end(): void
 }
@@ -104,11 +104,12 @@
     return {
       end,
       answered: () => {
-        if (isOver) return
         const took = this.options.clock.now() - startedAt
+        const slowness = (took + SLOWNESS_SLACK) / (expected + SLOWNESS_SLACK)
         noteFirstEvent(this.#estimates, work.model, tokens, took)
-        this.#learnSlowness(upstream, took, expected)
+        this.#learnSlowness(upstream, slowness)
         end()
+        return slowness
       },
     }
   }
@@ -121,8 +122,7 @@
     return sum
   }
 
-  #learnSlowness(upstream: string, took: Milliseconds, expected: Milliseconds): void {
-    const sample = (took + SLOWNESS_SLACK) / (expected + SLOWNESS_SLACK)
+  #learnSlowness(upstream: string, sample: number): void {
     const bounded = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, sample))
     const known = this.slowness(upstream)
     this.#slowness.set(upstream, known + SLOWNESS_WEIGHT * (bounded - known))
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -36,11 +36,28 @@
 const SLOW_FACTOR = 4
 /** ... if it is also slower by this. */
 const SLOW_SLACK: Milliseconds = 250
+/** ... and than its prompt and what was before it explain, this many times. */
+const LEAST_SLOWNESS = 3.5
 /** Weight of the newest answer in the usual time. */
 const USUAL_WEIGHT = 0.1
 /** Answers before the usual time is believed. */
 const USUAL_SAMPLES = 8
 
+/** Whose answer is counted, and where. */
+export interface AnswerKey {
+  service: string
+  version: string
+  route: string
+  model: string
+}
+
+/** How an answer began. */
+export interface AnswerBegin {
+  took: Milliseconds
+  /** How many times longer than its prompt, and those before it, explain. */
+  slowness: number
+}
+
 interface UsualTime {
   mean: Milliseconds
   samples: number
@@ -140,13 +157,9 @@
     return version => established.has(version)
   }
 
-  /** Counts an answer. `firstEvent`: how long it took to begin, for one that came. */
-  noteAnswer(
-    key: { service: string; version: string; route: string; model: string },
-    isGood: boolean,
-    firstEvent: Milliseconds | undefined,
-  ): void {
-    const isSlow = isGood && firstEvent !== undefined && this.#isSlow(key, firstEvent)
+  /** Counts an answer. `begin`: how it began, for one that did. */
+  noteAnswer(key: AnswerKey, isGood: boolean, begin: AnswerBegin | undefined): void {
+    const isSlow = isGood && begin !== undefined && this.#isSlow(key, begin)
     const name = `${key.service} ${key.version} ${key.route}`
     const { service, version, route } = key
     const count = this.#answers.get(name) ?? { service, version, route, good: 0, bad: 0 }
@@ -156,10 +169,7 @@
   }
 
   /** The usual time is learned from the versions that are not on trial. */
-  #isSlow(
-    key: { service: string; version: string; route: string; model: string },
-    time: Milliseconds,
-  ): boolean {
+  #isSlow(key: AnswerKey, { took: time, slowness }: AnswerBegin): boolean {
     const name = `${key.service} ${key.route} ${key.model}`
     const usual = this.#usual.get(name) ?? { mean: time, samples: 0 }
     const order = this.#orders.find(entry => entry.service === key.service)
@@ -170,7 +180,7 @@
       this.#usual.set(name, usual)
     }
     const limit = SLOW_FACTOR * usual.mean + SLOW_SLACK
-    return usual.samples >= USUAL_SAMPLES && time > limit
+    return usual.samples >= USUAL_SAMPLES && time > limit && slowness >= LEAST_SLOWNESS
   }
 
   /** Looks at every order and writes what follows. */
--- /dev/null
+++ b/packages/gateway/test/rolloutTask.test.ts
@@ -0,0 +1,87 @@
+import { expect } from 'chai'
+import { createSeededRandom, ManualClock } from '@yewkeel/decisions'
+import { RolloutTask, type RolloutTaskOptions } from '../src/index.js'
+
+const KEY = { service: 'pool', version: 'v1', route: 'digest', model: 'large' }
+const ORDER = { service: 'pool', target: 'v2', duration: 20_000, revision: 5 }
+
+function createTask(change: Partial<RolloutTaskOptions> = {}): RolloutTask {
+  const clock = new ManualClock()
+  const versions = new Map([
+    ['v1', 2],
+    ['v2', 2],
+  ])
+  const task: RolloutTask = new RolloutTask({
+    clock,
+    random: createSeededRandom(2),
+    log: { note() {}, request() {} },
+    store: {} as RolloutTaskOptions['store'],
+    upstreams: {
+      readyVersions: () => versions,
+      inFlight: () => new Map(),
+    } as unknown as RolloutTaskOptions['upstreams'],
+    rank: () => 0,
+    allAnswers: () => task.answers,
+    othersBusy: () => 0,
+    ...change,
+  })
+  task.takeOrders([ORDER])
+  for (let count = 0; count < 20; count++) task.noteAnswer(KEY, true, { took: 100, slowness: 1 })
+  return task
+}
+
+const badOf = (task: RolloutTask, version: string) =>
+  task.answers.find(count => count.version === version)?.bad
+
+describe('evidence that a box gathers', () => {
+  it('does not hold a long prompt against its version', () => {
+    const task = createTask()
+    task.noteAnswer({ ...KEY, version: 'v2' }, true, { took: 2_500, slowness: 1.2 })
+    expect(badOf(task, 'v2')).to.equal(0)
+  })
+
+  it('counts an answer that took many times longer than its prompt explains', () => {
+    const task = createTask()
+    task.noteAnswer({ ...KEY, version: 'v2' }, true, { took: 2_500, slowness: 7 })
+    expect(badOf(task, 'v2')).to.equal(1)
+  })
+
+  it('counts a failure', () => {
+    const task = createTask()
+    task.noteAnswer({ ...KEY, version: 'v2' }, false, undefined)
+    expect(badOf(task, 'v2')).to.equal(1)
+  })
+})
+
+describe('versions that a request may run on', () => {
+  it('leave out a target whose roll-out has not begun, or was rolled back', () => {
+    const task = createTask()
+    expect(task.admission('pool', undefined)('v2')).to.equal(false)
+    task.takeStatuses([
+      { service: 'pool', target: 'v2', state: 'rolled-back', startedAt: 0, revision: 6 },
+    ])
+    expect(task.admission('pool', undefined)('v2')).to.equal(false)
+    expect(task.admission('pool', undefined)('v1')).to.equal(true)
+  })
+
+  it('are the target alone once it is completed, and a late older status changes nothing', () => {
+    const task = createTask()
+    const completed = { service: 'pool', target: 'v2', state: 'completed' as const, startedAt: 0 }
+    task.takeStatuses([{ ...completed, revision: 9 }])
+    task.takeStatuses([{ ...completed, state: 'active', revision: 6 }])
+    expect(task.admission('pool', 's1')('v1')).to.equal(false)
+    expect(task.admission('pool', 's1')('v2')).to.equal(true)
+  })
+
+  it('do not take in a version that came up without an order while an established one serves', () => {
+    const versions = new Map([['v1', 2]])
+    const upstreams = { readyVersions: () => versions, inFlight: () => new Map() }
+    const task = createTask({ upstreams: upstreams as unknown as RolloutTaskOptions['upstreams'] })
+    task.takeOrders([])
+    expect(task.admission('pool', undefined)('v1')).to.equal(true)
+    versions.set('v3', 1)
+    expect(task.admission('pool', undefined)('v3')).to.equal(false)
+    versions.delete('v1')
+    expect(task.admission('pool', undefined)('v3')).to.equal(true)
+  })
+})
