Call what the project already has; take out what nothing reads

Cause: reading the whole change. pickTarget walked weights as pickWeighted does, repeat and the stall watch's timer did what every does, and ejectUnreachable and isStoreOut had no caller. Conclusion: behaviour is meant to be as it was.

--- a/packages/decisions/src/listing/exchangeHealth.ts
+++ b/packages/decisions/src/listing/exchangeHealth.ts
@@ -79,11 +79,6 @@
   health.badShare = SHARE_FLOOR * 0.75
 }
 
-/** Ejects an upstream that cannot be reached at all. */
-export function ejectUnreachable(health: ExchangeHealth, now: Milliseconds): void {
-  if (now >= health.ejectedUntil) eject(health, now)
-}
-
 export function isEjected(health: ExchangeHealth, now: Milliseconds): boolean {
   return now < health.ejectedUntil
 }
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -1,4 +1,4 @@
-import type { PeerIdentity, PeerTransport } from '@yewkeel/box'
+import { every, type PeerIdentity, type PeerTransport } from '@yewkeel/box'
 import {
   confirm,
   createRetryShare,
@@ -6,6 +6,7 @@
   type Milliseconds,
   type Random,
   type Route,
+  type Timer,
 } from '@yewkeel/decisions'
 import { admitCaller, type Rejection } from './requests/admitCaller.js'
 import { forwardCall } from './requests/forwardCall.js'
@@ -91,6 +92,7 @@
   const { settings, identity, clock, random, log, metrics, dialect, store, transport } = options
   let state: GatewayState = 'starting'
   let isStopped = false
+  const rounds: Timer[] = []
   let hasEntry = false
   let isAnnouncing = false
   let lookedAt = -Infinity
@@ -267,14 +269,6 @@
     )
   }
 
-  function repeat(interval: Milliseconds, step: () => void): void {
-    clock.after(interval, () => {
-      if (isStopped) return
-      step()
-      repeat(interval, step)
-    })
-  }
-
   /** Enters the box in the store and learns of the others, again and again. */
   async function keepEntry(): Promise<void> {
     let pause = ENTRIES_EVERY
@@ -334,8 +328,10 @@
       reader.start()
       services.stalls.start()
       void keepEntry()
-      repeat(GOSSIP_EVERY, () => peers.tick())
-      repeat(ROLLOUT_EVERY, () => rollouts.tick())
+      rounds.push(
+        every(clock, GOSSIP_EVERY, () => peers.tick()),
+        every(clock, ROLLOUT_EVERY, () => rollouts.tick()),
+      )
     },
     handle(request, answer) {
       const fields = dialect.readRequest(request.headers)
@@ -369,6 +365,7 @@
     },
     async stop() {
       isStopped = true
+      for (const round of rounds) round.cancel()
       reader.stop()
       await transport.close()
     },
--- a/packages/gateway/src/node/upstreamChannels.ts
+++ b/packages/gateway/src/node/upstreamChannels.ts
@@ -156,6 +156,7 @@
 
   #drop(channel: Channel): void {
     this.#open.delete(channel)
+    // What was under way on it has been told of already.
     channel.client.destroy().catch(() => undefined)
   }
 }
--- a/packages/gateway/src/requests/admitCaller.ts
+++ b/packages/gateway/src/requests/admitCaller.ts
@@ -1,4 +1,10 @@
-import type { Milliseconds, OrganisationKeys, Route, RouteIndex } from '@yewkeel/decisions'
+import {
+  pickWeighted,
+  type Milliseconds,
+  type OrganisationKeys,
+  type Route,
+  type RouteIndex,
+} from '@yewkeel/decisions'
 import type { CallerRequest, RequestFields } from '../types/ports.js'
 
 /** A request that may be sent on. */
@@ -72,11 +78,5 @@
 function pickTarget(route: Route, random: () => number): string {
   const { targets } = route
   if (targets.length === 1) return targets[0]!.service
-  const total = targets.reduce((sum, target) => sum + target.weight, 0)
-  let left = random() * total
-  for (const target of targets) {
-    left -= target.weight
-    if (left < 0) return target.service
-  }
-  return targets.at(-1)!.service
+  return (pickWeighted(targets, target => target.weight, random) ?? targets.at(-1)!).service
 }
--- a/packages/gateway/src/requests/stallWatch.ts
+++ b/packages/gateway/src/requests/stallWatch.ts
@@ -1,3 +1,4 @@
+import { every } from '@yewkeel/box'
 import type { Clock, Milliseconds } from '@yewkeel/decisions'
 import type { RunningExchange } from './exchangeWithUpstream.js'
 
@@ -23,10 +24,7 @@
   constructor(private readonly clock: Clock) {}
 
   start(): void {
-    this.clock.after(LOOK_EVERY, () => {
-      this.look()
-      this.start()
-    })
+    every(this.clock, LOOK_EVERY, () => this.look())
   }
 
   add(stream: WatchedStream): void {
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -45,10 +45,6 @@
     return confirmationAge(this.listProof, this.options.clock.now())
   }
 
-  get isStoreOut(): boolean {
-    return this.#isStoreOut
-  }
-
   start(): void {
     void this.#loop(() => this.#readOperators())
     void this.#loop(() => this.#readUpstreams())
