--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,7 @@
       'packages/proof/src/node/**',
       'packages/ctl/src/**',
       'packages/stand-ins/src/node/**',
+      'packages/soak/src/node/**',
       'packages/box/src/node/main.ts',
       'platform/src/main.ts',
     ],
@@ -31,6 +32,10 @@
     files: ['**/bin/*.js'],
     languageOptions: { globals: { process: 'readonly' } },
   },
+  {
+    files: ['platform/bundle/*.js'],
+    languageOptions: { globals: { URL: 'readonly' } },
+  },
   {
     files: ['**/test/**'],
     rules: { '@typescript-eslint/no-unused-expressions': 'off' },
--- a/packages/box/src/node/wsTransport.ts
+++ b/packages/box/src/node/wsTransport.ts
@@ -21,6 +21,8 @@
   log: Log
   /** A link with more than this waiting is broken off. Bytes. */
   largestBacklog?: number
+  /** Frames from this size on are compressed. Bytes; none are where it is left out. */
+  compressFrom?: number
 }
 
 const LARGEST_MESSAGE = 64 * 1024 * 1024
@@ -62,7 +64,11 @@
       ? createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true })
       : createServer()
     this.#server = server as ReturnType<typeof createServer>
-    this.#sockets = new WebSocketServer({ noServer: true, maxPayload: LARGEST_MESSAGE })
+    this.#sockets = new WebSocketServer({
+      noServer: true,
+      maxPayload: LARGEST_MESSAGE,
+      perMessageDeflate: this.#compression(),
+    })
     server.on('upgrade', (request, socket, head) => {
       if (!this.#isPeer(request.headers[SECRET_HEADER])) {
         this.options.log.warn(
@@ -140,6 +146,7 @@
       }),
       headers: { [SECRET_HEADER]: secret, [IDENTITY_HEADER]: JSON.stringify(self) },
       maxPayload: LARGEST_MESSAGE,
+      perMessageDeflate: this.#compression(),
     })
     const link: Link<Message> = { socket, waiting: [] }
     this.#links.set(address, link)
@@ -158,6 +165,17 @@
     })
   }
 
+  /** Each frame is compressed by itself, so that a link keeps no window in memory. */
+  #compression() {
+    const { compressFrom } = this.options
+    if (compressFrom === undefined) return false
+    return {
+      threshold: compressFrom,
+      serverNoContextTakeover: true,
+      clientNoContextTakeover: true,
+    }
+  }
+
   #identify(link: Link<Message>, bytes: Buffer): void {
     const identity = parseIdentity(bytes.toString())
     if (!identity || link.peer) return
--- a/packages/decisions/src/listing/pickUpstream.ts
+++ b/packages/decisions/src/listing/pickUpstream.ts
@@ -32,6 +32,8 @@
   dataCentre: string
   random: Random
   prompt?: PromptWork
+  /** Whether `waiting` of upstreams in other data centres is known. True where it is left out. */
+  knowsFarWork?: boolean
 }
 
 /** Share of its slots that a nearer upstream may be busier by: what a hop between data centres costs. */
@@ -42,6 +44,11 @@
 const HELD_UP_PART = 0.1
 /** A hop between data centres and back. */
 const FAR_COST: Milliseconds = 4
+/**
+ * What is to be expected in the queue of an upstream whose work is not known: on the grown sites engines read for a
+ * quarter of the time, some 150 ms at a stretch.
+ */
+const UNKNOWN_COST: Milliseconds = 40
 /**
  * What it is worth, beside the time to read them, to find 1,000 shared tokens where they are kept: reading them again is
  * priced, and memory that holds one text twice holds another not at all. By the prices of the small sites some 5 % of
@@ -68,13 +75,14 @@
 function pickSoonest<T extends UpstreamCandidate>(
   candidates: readonly T[],
   prompt: PromptWork,
-  { dataCentre, random }: PickOptions,
+  { dataCentre, random, knowsFarWork = true }: PickOptions,
 ): T {
   const { whole, shared, sharedTokens, homeKey } = prompt
   const idOf = (candidate: T) => candidate.listed.id
   const homes =
     homeKey === undefined ? [] : rankByRendezvous(homeKey, candidates, idOf, HOME_SHARES.length)
   const keptWorth = (KEPT_WORTH * sharedTokens) / 1_000
+  const farCost = knowsFarWork ? FAR_COST : UNKNOWN_COST
   let best = candidates[0]!
   let least = Infinity
   for (const candidate of candidates) {
@@ -84,7 +92,7 @@
       (STREAM_COST + HELD_UP_PART * whole) * candidate.load +
       candidate.slowness * (whole - kept * shared) -
       kept * keptWorth +
-      (candidate.listed.dataCentre === dataCentre ? 0 : FAR_COST) +
+      (candidate.listed.dataCentre === dataCentre ? 0 : farCost) +
       TIE * random()
     if (cost >= least) continue
     best = candidate
--- a/packages/decisions/src/listing/upstreamList.ts
+++ b/packages/decisions/src/listing/upstreamList.ts
@@ -37,6 +37,13 @@
   state.isStoreOut = true
 }
 
+/** The store answers again: from now on entries that lapsed meanwhile have time to come back. */
+export function noteListReturn(state: UpstreamListState, now: Milliseconds): void {
+  if (!state.isStoreOut) return
+  state.isStoreOut = false
+  state.backAt = now
+}
+
 /**
  * Takes a whole list. An entry that is missing is gone, unless the store was out: then it is kept for a
  * short time, in which a living upstream comes back. Gives the ids that are gone.
@@ -46,10 +53,7 @@
   listed: readonly ListedUpstream[],
   now: Milliseconds,
 ): string[] {
-  if (state.isStoreOut) {
-    state.isStoreOut = false
-    state.backAt = now
-  }
+  noteListReturn(state, now)
   const next = new Map(listed.map(entry => [entry.id, entry]))
   const inGrace = state.backAt !== undefined && now - state.backAt < RETURN_GRACE
   const gone: string[] = []
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -1,6 +1,5 @@
 import { every, type PeerIdentity, type PeerTransport } from '@yewkeel/box'
 import {
-  confirm,
   createConfidenceGains,
   createRetryShare,
   type Clock,
@@ -15,6 +14,7 @@
 import { forwardStream } from './requests/forwardStream.js'
 import { StallWatch } from './requests/stallWatch.js'
 import { EngineWork } from './tasks/engineWork.js'
+import { EntryTask } from './tasks/entryTask.js'
 import { OperatorTask } from './tasks/operatorTask.js'
 import { PeerTask } from './tasks/peerTask.js'
 import { RolloutTask } from './tasks/rolloutTask.js'
@@ -22,7 +22,6 @@
 import { UpstreamDirectory } from './tasks/upstreamDirectory.js'
 import type { GatewayMessage, GatewayState } from './types/gossip.js'
 import type {
-  BoxEntry,
   CallerAnswer,
   CallerRequest,
   Dialect,
@@ -32,7 +31,7 @@
   Store,
 } from './types/ports.js'
 import type { GatewayServices } from './types/services.js'
-import type { GatewaySettings } from './types/settings.js'
+import type { GatewayLimits, GatewaySettings } from './types/settings.js'
 
 export interface GatewayOptions {
   settings: GatewaySettings
@@ -56,6 +55,8 @@
   /** Addresses that callers may use now. */
   addresses(dataCentre: string | undefined): string[]
   isReady(): boolean
+  /** Takes limits that have changed from now on. Name, data centre and addresses stay until the next start. */
+  reload(limits: GatewayLimits): void
   /** The box is told of as leaving and is ready no more; it still serves. */
   beginToLeave(): void
   stop(): Promise<void>
@@ -64,15 +65,16 @@
 /** A round of gossip; the directory and the proofs of freshness allow four rounds without news. */
 const GOSSIP_EVERY: Milliseconds = 400
 const ROLLOUT_EVERY: Milliseconds = 200
-const ENTRIES_EVERY: Milliseconds = 12_000
-const ENTRIES_AFTER_FAILURE: Milliseconds = 700
-const LOOK_FOR_BOXES_EVERY: Milliseconds = 1_500
 /** News that come together are told together. */
 const ANNOUNCE_AFTER: Milliseconds = 5
 /** Boxes that read the store for all others. Two, so that the loss of one leaves no gap. */
 const READERS = 2
-/** Part of the time for honouring a taken-away key after which the box stops, unless it has a younger proof. */
-const KEY_MARGIN = 0.66
+/**
+ * Part of the time for honouring a taken-away key after which the box stops, unless it has a younger proof. Proofs count
+ * from when the read was sent and requests from when they arrived, so that all of it may be used; the rest is for
+ * clocks that drift.
+ */
+const KEY_MARGIN = 0.92
 /** A 401 or 404 is given only with a copy younger than this; the operators' changes reach all boxes sooner. */
 const REFUSALS_WITHIN: Milliseconds = 2_500
 /** Part of an upstream's connections that all boxes together use. */
@@ -92,11 +94,8 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { settings, identity, clock, random, log, metrics, dialect, store, transport } = options
   let state: GatewayState = 'starting'
-  let isStopped = false
   const rounds: Timer[] = []
-  let hasEntry = false
   let isAnnouncing = false
-  let lookedAt = -Infinity
   let leavingSince: Milliseconds | undefined
 
   const operators = new OperatorTask({
@@ -109,7 +108,7 @@
   })
   const work: EngineWork = new EngineWork({
     clock,
-    tell: entries => peers.push({ type: 'work', entries }),
+    tell: entries => peers.tellNear({ type: 'work', entries }),
   })
   const upstreams: UpstreamDirectory = new UpstreamDirectory({
     clock,
@@ -118,6 +117,7 @@
     log,
     metrics,
     work,
+    knowsFarWork: () => peers.isMesh,
   })
   const rollouts: RolloutTask = new RolloutTask({
     clock,
@@ -138,7 +138,9 @@
     upstreams,
     rollouts,
     isReader: () => rank() < READERS,
-    newsWithin: settings.newsWithin,
+    boxCount: () => services.boxCount(),
+    onStoreChange: announce,
+    newsWithin: () => settings.newsWithin,
     onOperatorsRead: announce,
     onUpstreamsRead: announce,
   })
@@ -148,7 +150,12 @@
     log,
     transport,
     content: () => ({
-      own: { state, answers: rollouts.answers, busy: rollouts.ownBusy },
+      own: {
+        state,
+        isStoreLost: reader.isStoreOut,
+        answers: rollouts.answers,
+        busy: rollouts.ownBusy,
+      },
       ...(operators.state.revision > 0 && {
         operators: { revision: operators.state.revision, age: operators.age },
       }),
@@ -171,7 +178,7 @@
       if (fingerprint !== upstreams.fingerprint)
         return revision > upstreams.version ? 'wanted' : 'known'
       upstreams.sameAt(revision)
-      confirm(reader.listProof, provedAt)
+      reader.proveList(provedAt)
       return 'known'
     },
     onOperators(next) {
@@ -181,7 +188,6 @@
     onUpstreams(entries, version) {
       if (upstreams.take(entries, version)) announce()
     },
-    onUnknownBox: () => void lookForBoxes(),
     onRollouts: statuses => rollouts.takeStatuses(statuses),
     onWork: (box, entries) => work.takePeerWork(box, entries),
     onStoreClock: (storeNow, at) => rollouts.noteStoreClock(storeNow, at),
@@ -211,10 +217,14 @@
     })
   }
 
-  /** This box's place by name among the boxes that serve. */
+  /** This box's place by name among the boxes that serve. Those that have lost the store come after those that have not. */
   function rank(): number {
-    return peers.live().filter(peer => peer.state === 'serving' && peer.entry.box < identity.box)
-      .length
+    const serving = peers.live().filter(peer => peer.state === 'serving')
+    return serving.filter(
+      ({ entry, isStoreLost }) =>
+        isStoreLost < reader.isStoreOut ||
+        (isStoreLost === reader.isStoreOut && entry.box < identity.box),
+    ).length
   }
 
   const services: GatewayServices = {
@@ -271,57 +281,15 @@
     )
   }
 
-  /** Enters the box in the store and learns of the others, again and again. */
-  async function keepEntry(): Promise<void> {
-    let pause = ENTRIES_EVERY
-    try {
-      const entries = await store.readBoxes()
-      await enterSelf(entries)
-      await removeForgotten(entries)
-      peers.takeEntries(entries)
-    } catch (error) {
-      pause = hasEntry ? ENTRIES_EVERY : ENTRIES_AFTER_FAILURE
-      log.note('entry-failed', { error: String(error), pause })
-    }
-    clock.after(pause, () => void (isStopped || keepEntry()))
-  }
-
-  async function enterSelf(entries: readonly BoxEntry[]): Promise<void> {
-    const { box, dataCentre, entryAddress, peerAddress } = identity
-    const known = entries.find(entry => entry.box === box)
-    if (known?.peerAddress !== peerAddress)
-      await store.writeBox({ box, dataCentre, entryAddress, peerAddress })
-    if (!hasEntry) {
-      hasEntry = true
-      // Others that entered at the same moment are seen by a second look soon after.
-      clock.after(ENTRIES_AFTER_FAILURE, () => void readEntries())
-    }
-  }
-
-  async function readEntries(): Promise<void> {
-    try {
-      peers.takeEntries(await store.readBoxes())
-    } catch (error) {
-      log.note('entry-failed', { error: String(error) })
-    }
-  }
-
-  /** Others speak of a box that entered itself since the last look. */
-  async function lookForBoxes(): Promise<void> {
-    if (clock.now() - lookedAt < LOOK_FOR_BOXES_EVERY) return
-    lookedAt = clock.now()
-    await readEntries()
-  }
-
-  /** One box clears away the entries of those that are gone. */
-  async function removeForgotten(entries: readonly BoxEntry[]): Promise<void> {
-    if (rank() > 0 || clock.now() - startedAt < ENTRIES_EVERY) return
-    const silent = new Set(peers.silentEntries())
-    const gone = entries.filter(entry => silent.has(entry.box)).map(entry => entry.box)
-    if (gone.length === 0) return
-    await store.removeBoxes(gone)
-    log.note('entries-removed', { boxes: gone })
-  }
+  const entries = new EntryTask({
+    self: identity,
+    clock,
+    log,
+    store,
+    clearsAway: () => rank() === 0,
+    silentEntries: () => peers.silentEntries(),
+    onEntries: known => peers.takeEntries(known),
+  })
 
   const startedAt = clock.now()
   return {
@@ -329,7 +297,7 @@
     start() {
       reader.start()
       services.stalls.start()
-      void keepEntry()
+      entries.start()
       rounds.push(
         every(clock, GOSSIP_EVERY, () => peers.tick()),
         every(clock, ROLLOUT_EVERY, () => rollouts.tick()),
@@ -359,6 +327,11 @@
       return [...near, ...far].slice(0, MOST_ADDRESSES).map(box => box.entryAddress)
     },
     isReady: () => state === 'serving',
+    reload(limits) {
+      Object.assign(settings, limits)
+      services.retries.limits = limits.retries
+      log.note('reload', { ...limits })
+    },
     beginToLeave() {
       state = 'leaving'
       leavingSince = clock.now()
@@ -366,7 +339,7 @@
       peers.tick()
     },
     async stop() {
-      isStopped = true
+      entries.stop()
       for (const round of rounds) round.cancel()
       reader.stop()
       await transport.close()
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -37,6 +37,8 @@
 
 /** Gossip is useless when it is late: a link with more than this waiting is opened anew. Bytes. */
 const GOSSIP_BACKLOG = 512 * 1024
+/** Configurations and lists are compressed some tenfold; gossip is smaller and mostly numbers. Bytes. */
+const COMPRESS_FROM = 8 * 1024
 /** After this callers have asked for new addresses, and connections that rest may be closed. */
 const CLOSE_IDLE_AFTER: Milliseconds = 1_500
 const LEAST_LEAVING: Milliseconds = 2_500
@@ -62,6 +64,7 @@
     clock,
     log: peerLog(log),
     largestBacklog: GOSSIP_BACKLOG,
+    compressFrom: COMPRESS_FROM,
   })
   const gateway = createGateway({
     ...options,
--- a/packages/gateway/src/tasks/knownBoxes.ts
+++ b/packages/gateway/src/tasks/knownBoxes.ts
@@ -10,6 +10,8 @@
   state: GatewayState
   /** Rises while the run lasts. */
   sequence: number
+  /** The store does not answer it. */
+  isStoreLost: boolean
   /** Its requests under way on versions that are being replaced. */
   busy: number
   /** Its answers by version, heard from itself alone. */
@@ -66,14 +68,14 @@
   /** A box speaks of itself. Gives its state before, if that has changed. */
   hearBox(entry: BoxEntry, run: number, report: OwnReport, now: Milliseconds): boolean {
     const before = this.#boxes.get(entry.box)
-    const { state, sequence, busy, answers } = report
     this.addEntry(entry)
-    this.#boxes.set(entry.box, { entry, run, state, sequence, busy, answers, heardAt: now })
-    return before?.state !== state
+    this.#boxes.set(entry.box, { ...report, entry, run, heardAt: now })
+    return before?.state !== report.state
   }
 
   /** What others say of a box. False if no entry names it. */
-  hearOf([boxHash, run, sequence, stateIndex, busy]: Hearsay, now: Milliseconds): boolean {
+  hearOf(hearsay: Hearsay, now: Milliseconds): boolean {
+    const [boxHash, run, sequence, stateIndex, busy, storeLost] = hearsay
     const name = this.#byHash.get(boxHash)
     const entry = name === undefined ? undefined : this.#entries.get(name)
     if (!entry) return boxHash === hashText(this.self)
@@ -84,18 +86,21 @@
     if (known && known.run !== run && now - known.heardAt < SILENT_AFTER) return true
     const state = GATEWAY_STATES[stateIndex] ?? 'starting'
     const answers = known?.run === run ? known.answers : []
-    this.#boxes.set(entry.box, { entry, run, state, sequence, busy, answers, heardAt: now })
+    const isStoreLost = storeLost === 1
+    const report = { state, sequence, isStoreLost, busy, answers }
+    this.#boxes.set(entry.box, { ...report, entry, run, heardAt: now })
     return true
   }
 
   /** All that is known of others, for those that do not hear them. */
   hearsay(now: Milliseconds): Hearsay[] {
-    return this.live(now).map(({ entry, run, sequence, state, busy }) => [
+    return this.live(now).map(({ entry, run, sequence, state, busy, isStoreLost }) => [
       hashText(entry.box),
       run,
       sequence,
       GATEWAY_STATES.indexOf(state),
       busy,
+      isStoreLost ? 1 : 0,
     ])
   }
 }
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -12,7 +12,7 @@
 import type { GatewayMessage, Gossip, ListProofAge, OwnReport, ProofAge } from '../types/gossip.js'
 import type { BoxEntry, EventLog, OperatorState } from '../types/ports.js'
 import type { WorkEntry } from './engineWork.js'
-import { KnownBoxes, type KnownBox } from './knownBoxes.js'
+import { KnownBoxes, SILENT_AFTER, type KnownBox } from './knownBoxes.js'
 
 /** What a box tells of itself and of the store in one round. */
 export interface GossipContent extends Pick<
@@ -39,14 +39,18 @@
   onRollouts(statuses: RolloutStatus[]): void
   onWork(box: string, entries: WorkEntry[]): void
   onStoreClock(storeNow: Milliseconds, at: Milliseconds): void
-  /** Others speak of a box that no entry names. */
-  onUnknownBox(): void
   currentOperators(): OperatorState
   currentUpstreams(): { version: number; entries: ListedUpstream[] }
 }
 
-/** An answer that did not come within this is asked for again, of whoever speaks next. */
-const ASK_AGAIN_AFTER: Milliseconds = 150
+/**
+ * An answer that did not come within this is asked for again, of whoever speaks next. A configuration of 1,400 routes
+ * takes up to 300 ms on the thinnest links of the grown sites, and asking twice fills them.
+ */
+const ASK_AGAIN_AFTER: Milliseconds = 600
+
+/** Links to every box of the data centre up to this many: a link costs some 50 KB and a message for each prompt sent. */
+const MOST_NEAR = 40
 
 type MessageHandlers = {
   [Type in GatewayMessage['type']]: (
@@ -60,6 +64,8 @@
   readonly #known: KnownBoxes
   /** Newest stamp of each neighbour by voter, and when it came. */
   readonly #stamps = new Map<string, { stamp: Milliseconds; at: Milliseconds }>()
+  /** When each box last sent gossip to this one. */
+  readonly #spokeAt = new Map<string, Milliseconds>()
   /** The present run of each neighbour that there is a link to. */
   readonly #voters = new Map<string, string>()
   readonly #asked = new Map<string, Milliseconds>()
@@ -68,6 +74,11 @@
   readonly #handlers: MessageHandlers = {
     gossip: (from, message) => this.#hearGossip(from, message),
     work: (from, message) => this.options.onWork(from.box, message.entries),
+    'boxes-wanted': from =>
+      this.#reply(from, { type: 'boxes', entries: this.live().map(({ entry }) => entry) }),
+    boxes: (_from, message) => {
+      for (const entry of message.entries) this.#known.addEntry(entry)
+    },
     'operators-wanted': from =>
       this.#reply(from, { type: 'operators', state: this.options.currentOperators() }),
     operators: (_from, message) => this.options.onOperators(message.state),
@@ -116,16 +127,17 @@
     this.#known.forgetSilent(now)
     this.#link()
     const message = this.#compose(now)
-    this.#toNeighbours(voter => this.#withEcho(message, voter, now))
+    this.#tell(this.#neighbours(), voter => this.#withEcho(message, voter, now))
   }
 
-  /** Tells all neighbours at once. */
-  push(message: GatewayMessage): void {
-    this.#toNeighbours(() => message)
+  /** Tells all boxes of the same data centre at once; where every box is linked to every other, all of them. */
+  tellNear(message: GatewayMessage): void {
+    const near = this.isMesh ? this.#neighbours() : this.#near()
+    this.#tell(near, () => message)
   }
 
-  #toNeighbours(messageFor: (voter: string) => GatewayMessage): void {
-    for (const { box } of this.#neighbours()) {
+  #tell(boxes: readonly BoxEntry[], messageFor: (voter: string) => GatewayMessage): void {
+    for (const { box } of boxes) {
       const voter = this.#voters.get(box)
       if (voter) this.options.transport.send(voter, messageFor(voter))
     }
@@ -138,7 +150,7 @@
       stamp: now,
       own: { ...own, sequence: ++this.#sequence },
       // Where every box is linked to every other, each speaks for itself alone.
-      others: this.#isMesh() ? [] : this.#known.hearsay(now),
+      others: this.isMesh ? [] : this.#known.hearsay(now),
       ...content,
     }
   }
@@ -152,13 +164,31 @@
     return ringNeighbours(this.options.self.box, this.#known.entries, entry => entry.box)
   }
 
-  #isMesh(): boolean {
+  /** Every box is linked to every other, so that each knows the work of all. */
+  get isMesh(): boolean {
     const others = this.#known.entries.filter(entry => entry.box !== this.options.self.box)
     return this.#neighbours().length === others.length
   }
 
+  /** The other boxes of the data centre, or where those are many the neighbours among them. */
+  #near(): BoxEntry[] {
+    const { box, dataCentre } = this.options.self
+    const isNear = (entry: BoxEntry) => entry.dataCentre === dataCentre && entry.box !== box
+    const near = this.#known.entries.filter(isNear)
+    return near.length <= MOST_NEAR ? near : this.#neighbours().filter(isNear)
+  }
+
+  /** Boxes that know of others than this one does may take it for a neighbour: it can ask them only over a link. */
+  #speakers(): BoxEntry[] {
+    const now = this.options.clock.now()
+    const isRecent = ({ box }: BoxEntry) =>
+      now - (this.#spokeAt.get(box) ?? -Infinity) < SILENT_AFTER
+    return this.#known.entries.filter(isRecent)
+  }
+
   #link(): void {
-    const peers = this.#neighbours().map(({ box, peerAddress }) => ({ box, address: peerAddress }))
+    const linked = new Set([...this.#neighbours(), ...this.#near(), ...this.#speakers()])
+    const peers = [...linked].map(({ box, peerAddress }) => ({ box, address: peerAddress }))
     this.options.transport.link(peers)
   }
 
@@ -167,14 +197,16 @@
   }
 
   #hearGossip(from: PeerIdentity, message: Gossip): void {
-    const { clock, log, onRollouts, onWork, onStoreClock, onUnknownBox } = this.options
+    const { clock, log, onRollouts, onWork, onStoreClock } = this.options
     const now = clock.now()
     this.#stamps.set(voterOf(from), { stamp: message.stamp, at: now })
+    this.#spokeAt.set(from.box, now)
     const { box, dataCentre, entryAddress, peerAddress } = from
     const entry = { box, dataCentre, entryAddress, peerAddress }
     const isChanged = this.#known.hearBox(entry, hashText(from.incarnation), message.own, now)
     if (isChanged) log.note('peer', { peer: box, state: message.own.state })
-    for (const hearsay of message.others) if (!this.#known.hearOf(hearsay, now)) onUnknownBox()
+    const knowsAll = message.others.map(hearsay => this.#known.hearOf(hearsay, now)).every(Boolean)
+    if (!knowsAll) this.#ask(from, { type: 'boxes-wanted' })
     onRollouts(message.rollouts)
     onWork(box, message.work)
     if (message.storeNow !== undefined) onStoreClock(message.storeNow, now)
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -15,8 +15,12 @@
   rollouts: RolloutTask
   /** Whether this box reads for all; the others read only when they hear nothing. */
   isReader(): boolean
+  /** Boxes that are heard of, and this one. */
+  boxCount(): number
+  /** The store has ceased to answer this box, or answers again. */
+  onStoreChange(): void
   /** The operators' changes and leaving upstreams must be known within this. */
-  newsWithin: Milliseconds
+  newsWithin(): Milliseconds
   onOperatorsRead(): void
   onUpstreamsRead(): void
 }
@@ -27,22 +31,50 @@
 const LIST_PART = 0.4
 /** ... and a box that is told nothing reads for itself. */
 const ALONE_PART = 0.95
-/** A list that nobody could confirm for this long was not kept by the store. */
-const OUTAGE_AFTER: Milliseconds = 1_800
+/**
+ * Part of that time without a proof of the list, from any box, after which the store was out for all: proofs are younger
+ * wherever some box reads, and entries begin to lapse two heartbeats after the store went.
+ */
+const OUTAGE_PART = 0.9
+/** A box that has lost the store, and hears from others, asks this often whether it answers again. */
+const PROBE_EVERY: Milliseconds = 5_000
 const LOOK_AGAIN: Milliseconds = 120
+/** A reader asks again after this when the store did not answer ... */
 const AFTER_FAILURE: Milliseconds = 250
+/** ... and the others together this often, since every call is priced: each waits its turn. */
+const OTHERS_AFTER_FAILURE: Milliseconds = 125
+/** A box that knows nothing yet doubles its pause up to this. */
+const LONGEST_AFTER_FAILURE: Milliseconds = 1_000
 
 /** Keeps what a box knows of the store fresh, with as few calls as the boxes together need. */
 export class StoreReader {
-  readonly listProof: Confirmation = {}
+  readonly #listProof: Confirmation = {}
   #isStopped = false
   #isStoreOut = false
+  #firstPause = AFTER_FAILURE
+  #askedAt = -Infinity
 
   constructor(private readonly options: StoreReaderOptions) {}
 
   /** Age of the proof that the list of upstreams is the store's newest. */
   get listAge(): Milliseconds {
-    return confirmationAge(this.listProof, this.options.clock.now())
+    return confirmationAge(this.#listProof, this.options.clock.now())
+  }
+
+  /** At `provedAt` the list that this box holds was the store's newest. */
+  proveList(provedAt: Milliseconds): void {
+    confirm(this.#listProof, provedAt)
+    if (!this.#isListOld) this.options.upstreams.noteReturn()
+  }
+
+  /** No box can have read the list for long. */
+  get #isListOld(): boolean {
+    return this.listAge > OUTAGE_PART * this.options.newsWithin()
+  }
+
+  /** The store did not answer this box's last call. */
+  get isStoreOut(): boolean {
+    return this.#isStoreOut
   }
 
   start(): void {
@@ -62,21 +94,33 @@
         pause = await step()
       } catch (error) {
         this.#noteFailure(error)
-        pause = AFTER_FAILURE
+        pause = this.#pauseAfterFailure()
       }
       if (pause > 0) await sleep(clock, pause)
     }
     log.note('store-reader-stopped', {})
   }
 
+  #pauseAfterFailure(): Milliseconds {
+    const { operators, isReader, boxCount } = this.options
+    if (operators.state.revision === 0) {
+      this.#firstPause = Math.min(LONGEST_AFTER_FAILURE, 2 * this.#firstPause)
+      return this.#firstPause
+    }
+    return isReader() ? AFTER_FAILURE : Math.max(AFTER_FAILURE, OTHERS_AFTER_FAILURE * boxCount())
+  }
+
   async #readOperators(): Promise<Milliseconds> {
     const { operators, clock, store, rollouts, isReader, newsWithin } = this.options
     const isFirst = operators.state.revision === 0
-    if (!isFirst && !isReader() && operators.age < ALONE_PART * newsWithin) return LOOK_AGAIN
+    const isProbeDue = this.#isStoreOut && clock.now() - this.#askedAt > PROBE_EVERY
+    const isTold = operators.age < ALONE_PART * newsWithin()
+    if (!isFirst && !isReader() && isTold && !isProbeDue) return LOOK_AGAIN
     const sentAt = clock.now()
+    this.#askedAt = sentAt
     if (!isFirst) {
       const { revision } = operators.state
-      const wait = isReader() ? Math.round(AWAIT_PART * newsWithin) : 0
+      const wait = isReader() ? Math.round(AWAIT_PART * newsWithin()) : 0
       const news = await store.awaitOperatorState(revision, wait)
       this.#noteAnswer(news.storeNow)
       if (!news.value) {
@@ -95,20 +139,27 @@
 
   async #readUpstreams(): Promise<Milliseconds> {
     const { upstreams, clock, store, isReader, newsWithin } = this.options
-    if (!isReader() && this.listAge < ALONE_PART * newsWithin) return LOOK_AGAIN
+    // While the store does not answer, one call at a time asks whether it is back.
+    if (this.#isStoreOut && upstreams.version > 0) return this.#noteListOutage()
+    if (!isReader() && this.listAge < ALONE_PART * newsWithin()) return LOOK_AGAIN
     const sentAt = clock.now()
     try {
       const read = await store.readUpstreams()
       this.#noteAnswer(read.storeNow)
       const isChanged = upstreams.take(read.value, read.version)
-      confirm(this.listProof, sentAt)
+      this.proveList(sentAt)
       if (isChanged) this.options.onUpstreamsRead()
     } catch (error) {
-      // Others may still read the store: only if nobody does can entries lapse although their upstreams live.
-      if (this.listAge > OUTAGE_AFTER) upstreams.noteOutage()
+      this.#noteListOutage()
       throw error
     }
-    return Math.max(0, LIST_PART * newsWithin - (clock.now() - sentAt))
+    return Math.max(0, LIST_PART * newsWithin() - (clock.now() - sentAt))
+  }
+
+  /** Others may still read the store: only if nobody does can entries lapse although their upstreams live. */
+  #noteListOutage(): Milliseconds {
+    if (this.#isListOld) this.options.upstreams.noteOutage()
+    return LOOK_AGAIN
   }
 
   #noteAnswer(storeNow: Milliseconds): void {
@@ -118,6 +169,7 @@
     if (!this.#isStoreOut) return
     this.#isStoreOut = false
     log.note('store-back', {})
+    this.options.onStoreChange()
   }
 
   #noteFailure(error: unknown): void {
@@ -126,5 +178,6 @@
     if (this.#isStoreOut) return
     this.#isStoreOut = true
     log.note('store-lost', { error: String(error) })
+    this.options.onStoreChange()
   }
 }
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -5,6 +5,7 @@
   isEjected,
   noteExchange,
   noteListOutage,
+  noteListReturn,
   pickUpstream,
   takeUpstreamList,
   type Clock,
@@ -42,6 +43,8 @@
   channelLimit: number
 }
 
+/** The fingerprint before the first list; hashes are never negative, so that even an empty list is news. */
+const NO_LIST = -1
 /** What an upstream told of its load says little after this. */
 const TOLD_LOAD_LIFETIME: Milliseconds = 1_500
 
@@ -52,13 +55,15 @@
   log: EventLog
   metrics: GatewayMetrics
   work: EngineWork
+  /** Whether the boxes of other data centres tell this one what they have sent to upstreams. */
+  knowsFarWork(): boolean
 }
 
 /** The upstreams of the platform's list with what this box knows of each. */
 export class UpstreamDirectory {
   readonly #list = createUpstreamListState()
   readonly #upstreams = new Map<string, Upstream>()
-  #fingerprint = 0
+  #fingerprint = NO_LIST
   #version = 0
   #listed: readonly ListedUpstream[] = []
 
@@ -88,6 +93,11 @@
     noteListOutage(this.#list)
   }
 
+  /** The list was confirmed as it is after an outage. */
+  noteReturn(): void {
+    noteListReturn(this.#list, this.options.clock.now())
+  }
+
   /** Takes a whole list; an older one is passed over. True when it differs from the last one. */
   take(listed: readonly ListedUpstream[], version: number): boolean {
     if (version < this.#version) return false
@@ -117,7 +127,8 @@
     const { prompt } = query
     if (!prompt) return pickUpstream(candidates, { random, dataCentre })
     const lane = work.deal(candidates, ({ listed }) => listed.id, prompt)
-    return pickUpstream(lane, { random, dataCentre, prompt })
+    const knowsFarWork = this.options.knowsFarWork()
+    return pickUpstream(lane, { random, dataCentre, prompt, knowsFarWork })
   }
 
   /** How long it would take until an answer to a prompt begins. Infinite when no upstream takes it. */
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -1,6 +1,6 @@
 import type { AnswerCount, ListedUpstream, Milliseconds, RolloutStatus } from '@yewkeel/decisions'
 import type { WorkEntry } from '../tasks/engineWork.js'
-import type { OperatorState } from './ports.js'
+import type { BoxEntry, OperatorState } from './ports.js'
 
 /** The order is part of the protocol between boxes. */
 export const GATEWAY_STATES = ['starting', 'serving', 'leaving'] as const
@@ -12,14 +12,23 @@
   state: GatewayState
   /** Rises while the run lasts. */
   sequence: number
+  /** The store does not answer this box. */
+  isStoreLost: boolean
   /** Requests under way on versions that are being replaced. */
   busy: number
   /** Answers by version since the box began. Only while a roll-out is under way. */
   answers: AnswerCount[]
 }
 
-/** What a box says of another: hash of its name, hash of its run, sequence, index of its state, busy. */
-export type Hearsay = [box: number, run: number, sequence: number, state: number, busy: number]
+/** What a box says of another: hash of its name, hash of its run, sequence, index of its state, busy, 1 if it has lost the store. */
+export type Hearsay = [
+  box: number,
+  run: number,
+  sequence: number,
+  state: number,
+  busy: number,
+  isStoreLost: 0 | 1,
+]
 
 /** A proof that something read from the store was the newest there. */
 export interface ProofAge {
@@ -56,6 +65,8 @@
 export type GatewayMessage =
   | Gossip
   | { type: 'work'; entries: WorkEntry[] }
+  | { type: 'boxes-wanted' }
+  | { type: 'boxes'; entries: BoxEntry[] }
   | { type: 'operators-wanted' }
   | { type: 'operators'; state: OperatorState }
   | { type: 'upstreams-wanted' }
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -1,7 +1,22 @@
 import type { Milliseconds, RetryShareLimits } from '@yewkeel/decisions'
 
+/** Limits that may change while a box runs. */
+export interface GatewayLimits {
+  /** After this a key that was taken away may not be honoured; undefined if nobody minds. */
+  keyRevocation?: Milliseconds | undefined
+  /** The operators' changes and leaving upstreams must be known within this. */
+  newsWithin: Milliseconds
+  /** How long callers keep the addresses that they are told. */
+  addressLifetime: Milliseconds
+  /** A planned stop ends within this. */
+  stopWithin: Milliseconds
+  retries: RetryShareLimits
+  /** Answers of which the model is less sure than this are doubtful, 0 to 100. */
+  confidenceThreshold: number
+}
+
 /** Settings of a gateway. Every figure comes from outside, so that another deployment needs no new build. */
-export interface GatewaySettings {
+export interface GatewaySettings extends GatewayLimits {
   box: string
   dataCentre: string
   /** `host:port` for each thing that the box serves. */
@@ -13,14 +28,4 @@
     metrics?: string
   }
   peerSecret: string
-  /** After this a key that was taken away may not be honoured; undefined if nobody minds. */
-  keyRevocation?: Milliseconds
-  /** The operators' changes and leaving upstreams must be known within this. */
-  newsWithin: Milliseconds
-  /** How long callers keep the addresses that they are told. */
-  addressLifetime: Milliseconds
-  /** A planned stop ends within this. */
-  stopWithin: Milliseconds
-  retries: RetryShareLimits
-  confidenceThreshold: number
 }
--- /dev/null
+++ b/packages/gateway/test/fleet.test.ts
@@ -0,0 +1,114 @@
+import { expect } from 'chai'
+import type { ListedUpstream } from '@yewkeel/decisions'
+import { createFleet, type Fleet } from './testFleet.js'
+
+const DATA_CENTRES = ['alesund', 'bergen', 'maloy']
+
+async function startFleet(count: number): Promise<Fleet> {
+  const fleet = createFleet(DATA_CENTRES)
+  fleet.add(count)
+  await fleet.clock.advance(6_000)
+  return fleet
+}
+
+/** Calls at the store a second while the clock moves on. */
+async function callRate(fleet: Fleet, seconds: number): Promise<number> {
+  const before = fleet.store.calls
+  await fleet.clock.advance(seconds * 1_000)
+  return (fleet.store.calls - before) / seconds
+}
+
+const createUpstream = (id: string): ListedUpstream => ({
+  id,
+  service: 'pool',
+  address: '127.0.0.1:1',
+  dataCentre: 'bergen',
+  version: 'v1',
+  slots: 4,
+  state: 'ready',
+})
+
+const oldest = (fleet: Fleet) =>
+  Math.max(...fleet.boxes.map(({ gateway }) => gateway.services.operators.age))
+
+describe('a fleet of gateways', () => {
+  let fleet: Fleet
+  afterEach(() => fleet.stop())
+
+  it('all serve and know of each other, though they entered at the same moment', async () => {
+    fleet = await startFleet(30)
+    for (const { gateway } of fleet.boxes) {
+      expect(gateway.isReady()).to.equal(true)
+      expect(gateway.addresses('bergen')).to.have.length(30)
+    }
+  })
+
+  it('asks the store as often as a few boxes would', async () => {
+    fleet = await startFleet(30)
+    expect(await callRate(fleet, 10)).to.be.below(6)
+    expect(oldest(fleet)).to.be.below(2_500)
+  })
+
+  it('does not fall upon a store that is out, and is fresh again soon after its return', async () => {
+    fleet = await startFleet(60)
+    fleet.store.isOut = true
+    expect(await callRate(fleet, 8)).to.be.below(50)
+    fleet.store.isOut = false
+    await fleet.clock.advance(1_500)
+    expect(oldest(fleet)).to.be.below(1_500)
+  })
+
+  it('reads through other boxes when the store turns away those that read for all', async () => {
+    fleet = await startFleet(30)
+    for (const box of fleet.boxes.slice(0, 10)) box.isTurnedAway = true
+    let worst = 0
+    const before = fleet.store.calls
+    for (let step = 0; step < 40; step++) {
+      await fleet.clock.advance(200)
+      worst = Math.max(worst, oldest(fleet))
+    }
+    expect(worst).to.be.below(3_000)
+    expect((fleet.store.calls - before) / 8).to.be.below(30)
+  })
+
+  it('takes an upstream off every list in time, also where the store was lost for a while before', async () => {
+    fleet = createFleet(DATA_CENTRES)
+    fleet.store.upstreams = ['u1', 'u2'].map(createUpstream)
+    fleet.add(30)
+    await fleet.clock.advance(6_000)
+    for (const box of fleet.boxes.slice(3, 12)) box.isTurnedAway = true
+    fleet.store.isOut = true
+    await fleet.clock.advance(4_000)
+    fleet.store.isOut = false
+    for (const box of fleet.boxes) box.isTurnedAway = false
+    await fleet.clock.advance(8_000)
+    fleet.store.upstreams = [createUpstream('u1')]
+    fleet.store.version++
+    await fleet.clock.advance(2_900)
+    for (const { identity, gateway } of fleet.boxes)
+      expect([...gateway.services.upstreams.readyVersions('pool').values()], identity.box).to.eql([
+        1,
+      ])
+  })
+
+  it('hears of a new box without asking the store', async () => {
+    fleet = await startFleet(30)
+    const before = fleet.store.calls
+    fleet.add(1)
+    await fleet.clock.advance(4_000)
+    for (const { gateway } of fleet.boxes) expect(gateway.addresses('bergen')).to.have.length(31)
+    expect(fleet.store.calls - before).to.be.below(35)
+  })
+
+  it('tells the work of a box to all of its data centre and to no other', async () => {
+    fleet = await startFleet(30)
+    const sender = fleet.boxes[0]!
+    const prompt = { model: 'm', whole: 500, shared: 0, sharedTokens: 0 }
+    sender.gateway.services.work.begin('engine-1', prompt, 1_000)
+    await fleet.clock.advance(50)
+    for (const { identity, gateway } of fleet.boxes) {
+      const isNear = identity.dataCentre === sender.identity.dataCentre
+      expect(gateway.services.work.waiting('engine-1') > 0, identity.box).to.equal(isNear)
+    }
+  })
+})
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -238,6 +238,27 @@
     expect((await ask(running, { key: 'k1' })).status).to.equal(200)
   })
 
+  it('takes changed limits from then on', async () => {
+    const organisations = [{ name: 'morne', keys: ['k1'], priority: 0 }]
+    const routes = [createTestRoute({ isPublic: false })]
+    const running = await start([await startUpstream('u1', ok)], { routes, organisations })
+    const { settings } = running.gateway.services
+    running.gateway.reload({ ...settings, keyRevocation: 20_000 })
+    running.store.isOut = true
+    await running.clock.advance(10_000)
+    expect((await ask(running, { key: 'k1' })).status).to.equal(200)
+  })
+
+  it('serves keyed requests for nearly as long as a key may go on unseen', async () => {
+    const organisations = [{ name: 'morne', keys: ['k1'], priority: 0 }]
+    const routes = [createTestRoute({ isPublic: false })]
+    const running = await start([await startUpstream('u1', ok)], { routes, organisations })
+    running.store.isOut = true
+    // Proofs are up to a second old when the store goes.
+    await running.clock.advance(3_400)
+    expect((await ask(running, { key: 'k1' })).status).to.equal(200)
+  })
+
   it('never goes back to an older configuration or list', async () => {
     const running = await start([await startUpstream('u1', ok)], {})
     const { operators, upstreams } = running.gateway.services
--- /dev/null
+++ b/packages/gateway/test/testFleet.ts
@@ -0,0 +1,185 @@
+import {
+  createSeededRandom,
+  ManualClock,
+  type Configuration,
+  type ListedUpstream,
+  type Milliseconds,
+} from '@yewkeel/decisions'
+import type { PeerIdentity, PeerListener, PeerTransport } from '@yewkeel/box'
+import {
+  createGateway,
+  createGatewayMetrics,
+  type BoxEntry,
+  type Dialect,
+  type Gateway,
+  type GatewayMessage,
+  type OperatorState,
+  type Store,
+} from '../src/index.js'
+
+/** How long a message between boxes, or a call to the store, takes one way. */
+const DELAY: Milliseconds = 2
+
+/** One box of a fleet, and what a test may do to it. */
+export interface FleetBox {
+  identity: PeerIdentity
+  gateway: Gateway
+  /** The store refuses its calls. */
+  isTurnedAway: boolean
+}
+
+export interface Fleet {
+  clock: ManualClock
+  boxes: FleetBox[]
+  store: {
+    isOut: boolean
+    calls: number
+    operators: OperatorState
+    upstreams: ListedUpstream[]
+    version: number
+  }
+  /** Adds boxes and starts them at the same moment. */
+  add(count: number): FleetBox[]
+  stop(): Promise<void>
+}
+
+const CONFIGURATION: Configuration = {
+  revision: 1,
+  routes: [],
+  services: [],
+  limits: { bodyBytes: 1_000, headerTimeout: 1_000, idleTimeout: 1_000 },
+}
+
+/** Gateways without callers on a moved clock, linked in memory, before one store that counts its calls. */
+export function createFleet(dataCentres: readonly string[]): Fleet {
+  const clock = new ManualClock()
+  const boxes: FleetBox[] = []
+  const store: Fleet['store'] = {
+    isOut: false,
+    calls: 0,
+    operators: { revision: 1, configuration: CONFIGURATION, orders: [] },
+    upstreams: [],
+    version: 5,
+  }
+  const network = new MemoryLinks(clock)
+  const entries = new Map<string, BoxEntry>()
+  const pause = (span: Milliseconds) =>
+    new Promise<void>(resolve => clock.after(span, () => resolve()))
+
+  function storeOf(box: () => FleetBox): Store {
+    const call = async <T>(work: () => T): Promise<T> => {
+      store.calls++
+      await pause(DELAY)
+      if (store.isOut || box().isTurnedAway) throw new Error('the store does not answer')
+      const value = work()
+      await pause(DELAY)
+      return value
+    }
+    const read = <T>(value: () => T) =>
+      call(() => ({ value: value(), version: store.version, storeNow: clock.now() }))
+    return {
+      readOperatorState: () => read(() => store.operators),
+      async awaitOperatorState(revision, wait) {
+        const answer = await read(() => store.operators.revision > revision)
+        if (!answer.value) await pause(wait)
+        return answer
+      },
+      readUpstreams: () => read(() => store.upstreams),
+      readRollouts: () => read(() => []),
+      writeRollout: () => call(() => 'written' as const),
+      readBoxes: () => call(() => [...entries.values()]),
+      writeBox: entry => call(() => void entries.set(entry.box, entry)),
+      removeBoxes: names => call(() => names.forEach(name => entries.delete(name))),
+    }
+  }
+
+  function createBox(number: number): FleetBox {
+    const name = `box-${String(number).padStart(3, '0')}`
+    const identity: PeerIdentity = {
+      box: name,
+      incarnation: '1',
+      dataCentre: dataCentres[number % dataCentres.length]!,
+      entryAddress: `${name}:1`,
+      peerAddress: `${name}:2`,
+    }
+    const box: FleetBox = {
+      identity,
+      isTurnedAway: false,
+      gateway: createGateway({
+        settings: {
+          box: name,
+          dataCentre: identity.dataCentre,
+          listen: { entry: '', readiness: '', directory: '', peers: '' },
+          peerSecret: '',
+          keyRevocation: 5_000,
+          newsWithin: 3_000,
+          addressLifetime: 2_000,
+          stopWithin: 7_000,
+          retries: { ratio: 0.9, slack: 50, window: 10_000 },
+          confidenceThreshold: 60,
+        },
+        identity,
+        clock,
+        random: createSeededRandom(number),
+        log: { note() {}, request() {} },
+        metrics: createGatewayMetrics(),
+        dialect: {} as Dialect,
+        store: storeOf(() => box),
+        transport: network.join(identity),
+        onConfiguration() {},
+      }),
+    }
+    return box
+  }
+
+  return {
+    clock,
+    boxes,
+    store,
+    add(count) {
+      const added = Array.from({ length: count }, (_, at) => createBox(boxes.length + at))
+      boxes.push(...added)
+      for (const { gateway } of added) gateway.start()
+      return added
+    },
+    async stop() {
+      for (const { gateway } of boxes) await gateway.stop()
+    },
+  }
+}
+
+/** Links between boxes in memory: one way each, as the boxes dial them. */
+class MemoryLinks {
+  readonly #members = new Map<
+    string,
+    { identity: PeerIdentity; listener?: PeerListener<GatewayMessage> }
+  >()
+
+  constructor(private readonly clock: ManualClock) {}
+
+  join(identity: PeerIdentity): PeerTransport<GatewayMessage> {
+    const member: { identity: PeerIdentity; listener?: PeerListener<GatewayMessage> } = { identity }
+    const linked = new Set<string>()
+    this.#members.set(identity.peerAddress, member)
+    return {
+      listen: listener => void (member.listener = listener),
+      link: peers => {
+        for (const { address } of peers) {
+          const other = this.#members.get(address)
+          if (!other || linked.has(address)) continue
+          linked.add(address)
+          this.clock.after(DELAY, () => member.listener?.onConnected(other.identity))
+        }
+      },
+      send: (to, message) => {
+        const name = to.split('/')[0]!
+        const other = [...this.#members.values()].find(({ identity: { box } }) => box === name)
+        if (!other || !linked.has(other.identity.peerAddress)) return false
+        const copy = structuredClone(message)
+        this.clock.after(DELAY, () => other.listener?.onMessage(identity, copy))
+        return true
+      },
+      close: () => Promise.resolve(),
+    }
+  }
+}
--- /dev/null
+++ b/packages/soak/src/checks/evidence.ts
@@ -0,0 +1,50 @@
+import type { Attempt, FaultSpan, Instant, Run } from './seen.js'
+
+/** A change that the operators made, and when the store took it. */
+export interface KeyChange {
+  key: string
+  takenAwayAt: Instant
+}
+
+/** From `at` on, calls go to this service. */
+export interface RouteMove {
+  service: string
+  before: string
+  at: Instant
+}
+
+/** An upstream said that it leaves, or its entry went. */
+export interface Leaving {
+  instance: string
+  at: Instant
+}
+
+/** All that a run of the soak saw. */
+export class Evidence {
+  readonly attempts = new Map<string, Attempt>()
+  readonly runs = new Map<string, Run[]>()
+  /** Requests that reached a service, whether they ran or not. */
+  readonly arrivals: { id: string; service: string; instance: string; at: Instant }[] = []
+  readonly keyChanges: KeyChange[] = []
+  readonly routeMoves: RouteMove[] = []
+  readonly leavings: Leaving[] = []
+  readonly faults: FaultSpan[] = []
+  /** All faults were over. */
+  calmFrom: Instant = Infinity
+
+  noteRun(run: Run): void {
+    const runs = this.runs.get(run.id)
+    if (runs) runs.push(run)
+    else this.runs.set(run.id, [run])
+  }
+
+  /** Whether nothing was wrong with a box, or with what all share, in a span. */
+  isCalm(box: string | undefined, from: Instant, until: Instant): boolean {
+    return !this.faults.some(
+      fault =>
+        (fault.box === undefined || box === undefined || fault.box === box) &&
+        fault.from < until &&
+        fault.until > from,
+    )
+  }
+}
--- /dev/null
+++ b/packages/soak/src/world/upstreams.ts
@@ -0,0 +1,109 @@
+import {
+  startServiceStandIn,
+  UPSTREAMS_TABLE,
+  writeUpstream,
+  type RowsStandIn,
+  type ServiceStandIn,
+} from '@yewkeel/platform/stand-ins'
+import type { Random } from '@yewkeel/decisions'
+import type { Evidence } from '../checks/evidence.js'
+import { startLoopbackProxy, type LoopbackProxy } from '../faults/loopbackProxy.js'
+
+/** A place where one upstream runs after the other, behind a proxy. */
+export interface UpstreamPlace {
+  service: string
+  standIn: ServiceStandIn
+  proxy: LoopbackProxy
+}
+
+export interface UpstreamsOptions {
+  host: string
+  rows: RowsStandIn
+  random: Random
+  evidence: Evidence
+  now(): number
+}
+
+/** An upstream writes its row this often, in ms. */
+const ROW_EVERY_MS = 1_200
+/** How long one that leaves serves on after it said so, in ms. */
+const SERVES_ON_MS = 3_200
+
+/** The upstreams behind the boxes, with their rows in the store. */
+export class Upstreams {
+  readonly places: UpstreamPlace[] = []
+  readonly #instances = new Map<string, ServiceStandIn>()
+  readonly #timer: NodeJS.Timeout
+  #count = 0
+  #sequence = 0
+
+  constructor(private readonly options: UpstreamsOptions) {
+    this.#timer = setInterval(() => this.#writeRows(), ROW_EVERY_MS)
+  }
+
+  async add(service: string): Promise<void> {
+    const standIn = await this.#startInstance(service)
+    const place: Omit<UpstreamPlace, 'proxy'> = { service, standIn }
+    const proxy = await startLoopbackProxy(this.options.host, () => place.standIn.address)
+    this.places.push(Object.assign(place, { proxy }))
+    this.#writeRow(this.places.at(-1)!, 'ready')
+  }
+
+  /** It ends without a word, and another one starts in its place. */
+  async crash(place: UpstreamPlace): Promise<void> {
+    const gone = place.standIn
+    gone.crash()
+    place.standIn = await this.#startInstance(place.service)
+    this.options.rows.remove(UPSTREAMS_TABLE, gone.instance)
+    this.#writeRow(place, 'ready')
+  }
+
+  /** It says that it leaves, serves on, and ends; another one starts beside it. */
+  async replace(place: UpstreamPlace): Promise<void> {
+    const { rows, evidence, now } = this.options
+    const leaving = place.standIn
+    const proxy = await startLoopbackProxy(this.options.host, () => leaving.address)
+    rows.put(
+      UPSTREAMS_TABLE,
+      leaving.instance,
+      writeUpstream(place.service, proxy.address, 'draining', ++this.#sequence),
+    )
+    evidence.leavings.push({ instance: leaving.instance, at: now() })
+    place.standIn = await this.#startInstance(place.service)
+    this.#writeRow(place, 'ready')
+    setTimeout(() => {
+      rows.remove(UPSTREAMS_TABLE, leaving.instance)
+      leaving.crash()
+      proxy.close()
+    }, SERVES_ON_MS)
+  }
+
+  close(): void {
+    clearInterval(this.#timer)
+    for (const { proxy } of this.places) proxy.close()
+    for (const instance of this.#instances.values()) instance.crash()
+  }
+
+  async #startInstance(service: string): Promise<ServiceStandIn> {
+    const { host, random, evidence, now } = this.options
+    const instance = `i-${service}-${++this.#count}`
+    const standIn = await startServiceStandIn({
+      instance,
+      host,
+      random,
+      onArrival: id => void evidence.arrivals.push({ id, service, instance, at: now() }),
+      onRun: run => evidence.noteRun({ ...run, service, at: now() }),
+    })
+    this.#instances.set(instance, standIn)
+    return standIn
+  }
+
+  #writeRows(): void {
+    for (const place of this.places) this.#writeRow(place, 'ready')
+  }
+
+  #writeRow({ service, standIn, proxy }: UpstreamPlace, state: 'ready'): void {
+    const row = writeUpstream(service, proxy.address, state, ++this.#sequence)
+    this.options.rows.put(UPSTREAMS_TABLE, standIn.instance, row)
+  }
+}
