Soak: checks shown to see each broken promise; a double that breaks one on purpose

Change: promises are pure checks over evidence, tested by hand-made evidence, and a forwarder that breaks one promise stands in for a box. Not run to its end yet.

--- /dev/null
+++ b/packages/soak/test/soak.test.ts
@@ -0,0 +1,147 @@
+import { expect } from 'chai'
+import { createSeededRandom } from '@yewkeel/decisions'
+import {
+  Evidence,
+  findViolations,
+  planFaults,
+  runSeed,
+  type Attempt,
+  type PlannedFault,
+  type PromiseName,
+} from '../src/index.js'
+import { createBrokenBox } from './brokenBox.js'
+
+const BOUNDS = {
+  keyRevocation: 5_000,
+  newsWithin: 2_000,
+  stopWithin: 6_000,
+  retryRatio: 0.9,
+  retrySlack: 3,
+  retryWindow: 10_000,
+}
+
+const good = (change: Partial<Attempt> = {}): Attempt => ({
+  id: 'a1',
+  kind: 'unsafe',
+  key: 'key-1',
+  box: 'box-0',
+  sentAt: 10_000,
+  timeLeft: 2_000,
+  end: {
+    at: 10_020,
+    status: 200,
+    answersId: 'a1',
+    isSigned: true,
+    isWhole: true,
+    body: 'answer to a1',
+  },
+  ...change,
+})
+
+function evidenceOf(attempt: Attempt, runs: number): Evidence {
+  const evidence = new Evidence()
+  evidence.attempts.set(attempt.id, attempt)
+  const run = {
+    id: attempt.id,
+    service: 'desk',
+    instance: 'i-1',
+    organisation: 'morne',
+    at: 10_005,
+  }
+  for (let count = 0; count < runs; count++) {
+    evidence.noteRun(run)
+    evidence.arrivals.push(run)
+  }
+  return evidence
+}
+
+const broken = (evidence: Evidence) =>
+  findViolations(evidence, BOUNDS).map(({ promise }) => promise)
+
+describe('the checks of the soak', () => {
+  it('find nothing wrong with an answer that came once and in time', () => {
+    expect(broken(evidenceOf(good(), 1))).to.deep.equal([])
+  })
+
+  it('see an answer to another request, a call that ran twice, and an untrue refusal', () => {
+    const { end } = good()
+    const foreign = good({ end: { ...end!, body: 'answer to a2' } })
+    expect(broken(evidenceOf(foreign, 1))).to.deep.equal(['own-answer'])
+    expect(broken(evidenceOf(good(), 2))).to.deep.equal(['once'])
+    const refused = good({ end: { ...end!, status: 503, body: '' } })
+    expect(broken(evidenceOf(refused, 0))).to.deep.equal([])
+    expect(broken(evidenceOf(refused, 1))).to.deep.equal(['not-run'])
+  })
+
+  it('see a stream with a gap, and one that looks complete before its end', () => {
+    const stream = (numbers: number[], isWhole: boolean) => {
+      const body = numbers.map(number => `id: ${number}\ndata: a1\n\n`).join('')
+      return good({ kind: 'streaming', end: { ...good().end!, isWhole, body } })
+    }
+    expect(broken(evidenceOf(stream([1, 2, 4], false), 1))).to.deep.equal(['whole-stream'])
+    expect(broken(evidenceOf(stream([1, 2, 3], true), 1))).to.deep.equal(['whole-stream'])
+    expect(broken(evidenceOf(stream([1, 2, 3], false), 1))).to.deep.equal([])
+  })
+
+  it('hold a box to the time for keys whatever is wrong with it', () => {
+    const evidence = evidenceOf(good(), 1)
+    evidence.keyChanges.push({ key: 'key-1', takenAwayAt: 4_900 })
+    evidence.faults.push({ kind: 'store-link', box: 'box-0', from: 0, until: 20_000 })
+    expect(broken(evidence)).to.deep.equal(['revoked-keys'])
+  })
+
+  it('hold a box to the time for answers only while nothing is wrong with it', () => {
+    const evidence = evidenceOf(good({ end: { ...good().end!, at: 14_000 } }), 1)
+    expect(broken(evidence)).to.deep.equal(['answered'])
+    evidence.faults.push({ kind: 'box-pause', box: 'box-0', from: 10_010, until: 12_000 })
+    expect(broken(evidence)).to.deep.equal([])
+  })
+})
+
+describe('the plan of a seed', () => {
+  it('is always the same', () => {
+    const plan = () => planFaults(createSeededRandom(7), 20_000)
+    expect(plan()).to.deep.equal(plan())
+    expect(plan().length).to.be.above(10)
+  })
+})
+
+/** What brings each promise to light in a box that breaks it. */
+const PLANS: Record<PromiseName, PlannedFault[]> = {
+  'own-answer': [],
+  once: [],
+  'not-run': [],
+  'whole-stream': [],
+  'revoked-keys': [{ kind: 'key-change', at: 0, lasts: 0 }],
+  configuration: [{ kind: 'route-move', at: 0, lasts: 0 }],
+  draining: Array.from({ length: 8 }, () => ({ kind: 'upstream-replace', at: 0, lasts: 0 })),
+  'retry-budget': [],
+  answered: [],
+  'planned-stop': [{ kind: 'box-stop', at: 0, lasts: 300 }],
+  recovery: [{ kind: 'box-kill', at: 0, lasts: 0 }],
+}
+
+describe('the soak', () => {
+  it('sees each promise that a box breaks on purpose', async () => {
+    const promises = Object.keys(PLANS) as PromiseName[]
+    const results = await Promise.all(
+      promises.map((promise, index) =>
+        runSeed({
+          seed: 100 + index,
+          seconds: 0,
+          boxes: 1,
+          callers: 6,
+          program: '',
+          plan: PLANS[promise],
+          createBox: (_program, place) => createBrokenBox(promise, place),
+        }),
+      ),
+    )
+    results.forEach(({ violations }, index) => {
+      const seen = violations.map(({ promise }) => promise)
+      expect(seen, `${promises[index]}: ${JSON.stringify(violations.slice(0, 2))}`).to.include(
+        promises[index],
+      )
+    })
+  })
+})
