--- a/packages/soak/src/checks/promises.ts
+++ b/packages/soak/src/checks/promises.ts
@@ -139,9 +139,11 @@
       ),
 
   recovery: evidence => {
+    if (evidence.calmFrom === Infinity) return []
     const late = attemptsOf(evidence).filter(({ sentAt }) => sentAt > evidence.calmFrom + AFTERMATH)
+    if (late.length === 0) return ['no caller found a box after all faults were over']
     const served = late.filter(attempt => isSuccess(attempt) && attempt.end!.isWhole)
-    return late.length > 0 && served.length < SERVED_AGAIN * late.length
+    return served.length < SERVED_AGAIN * late.length
       ? [`${served.length} of ${late.length} requests were served after all faults were over`]
       : []
   },
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -67,44 +67,47 @@
   const now = () => performance.now()
   const rows = await startRowsStandIn({ pageSize: 100, feedsWait: true })
   const operators = createOperators(rows, evidence, now)
-  const host = hostOf(seed, 0)
-  const upstreams = new Upstreams({ host, rows, random, evidence, now })
+  const upstreams = new Upstreams({ host: hostOf(seed, 0), rows, random, evidence, now })
   for (const service of UPSTREAMS) await upstreams.add(service)
   const { boxes, targets } = await startBoxes(options, rows.address)
-  const callers = new Callers({
-    count: options.callers,
-    seed,
-    random,
-    targets,
-    evidence,
-    now,
-    key: () => operators.keyFor(random),
-  })
-  callers.start()
-  await sleep(WARM_UP_MS)
-  const world: World = { boxes, upstreams, rows, random, ...operators }
+  const key = () => operators.keyFor(random)
+  const callers = new Callers({ count: options.callers, seed, random, targets, evidence, key, now })
   const plan = options.plan ?? planFaults(random, seconds * 1_000)
-  await injectFaults(plan, world, evidence, now)
-  evidence.calmFrom = now()
-  await sleep(CALM_MS)
-  await callers.stop()
-  const violations = findViolations(evidence, BOUNDS)
-  const outputs = Object.fromEntries(boxes.map(({ process }) => [process.box, process.output()]))
-  for (const { process, callerProxy, storeProxy } of boxes) {
-    await process.dispose()
-    callerProxy.close()
-    storeProxy.close()
+  try {
+    callers.start()
+    await sleep(WARM_UP_MS)
+    await injectFaults(plan, { boxes, upstreams, rows, random, ...operators }, evidence, now)
+    evidence.calmFrom = now()
+    await sleep(CALM_MS)
+    await callers.stop()
+  } finally {
+    for (const { process, callerProxy, storeProxy } of boxes) {
+      await process.dispose()
+      callerProxy.close()
+      storeProxy.close()
+    }
+    upstreams.close()
+    rows.close()
   }
-  upstreams.close()
-  rows.close()
+  return resultOf(seed, plan.length, evidence, boxes)
+}
+
+function resultOf(
+  seed: number,
+  faults: number,
+  evidence: Evidence,
+  boxes: readonly BoxWorld[],
+): SeedResult {
+  const violations = findViolations(evidence, BOUNDS)
   const attempts = [...evidence.attempts.values()]
+  const outputs = boxes.map(({ process }) => [process.box, process.output()])
   return {
     seed,
     requests: attempts.length,
     served: attempts.filter(({ end }) => end?.status === 200 && end.isWhole).length,
-    faults: plan.length,
+    faults,
     violations,
-    outputs: violations.length > 0 ? outputs : {},
+    outputs: violations.length > 0 ? Object.fromEntries(outputs) : {},
   }
 }
 
--- a/packages/soak/src/world/boxProcess.ts
+++ b/packages/soak/src/world/boxProcess.ts
@@ -35,6 +35,7 @@
   writeFileSync(file, writeSettings(place, bounds))
   let child: ChildProcess | undefined
   let ended = Promise.resolve()
+  let isDisposed = false
   let output = ''
 
   const end = async (signal: NodeJS.Signals): Promise<void> => {
@@ -47,6 +48,9 @@
     box: place.box,
     place,
     start() {
+      // Faults overlap: two of them may both start the box again.
+      const isRunning = child && child.exitCode === null && child.signalCode === null
+      if (isRunning || isDisposed) return
       const started = spawn(process.execPath, [program], {
         stdio: ['ignore', 'pipe', 'pipe'],
         env: { ...process.env, YEWKEEL_BOOT: file },
@@ -65,6 +69,7 @@
     reload: () => void child?.kill('SIGHUP'),
     output: () => output,
     async dispose() {
+      isDisposed = true
       await end('SIGKILL')
       rmSync(folder, { recursive: true })
     },
--- a/packages/soak/src/world/callers.ts
+++ b/packages/soak/src/world/callers.ts
@@ -46,6 +46,8 @@
 /** Part of the connections that are given up after an answer. */
 const RECONNECT_SHARE = 0.1
 const DIRECTORY_TIMEOUT_MS = 1_000
+/** Beyond the time of its attempt a caller waits this long, so that a late end is seen, in ms. */
+const GIVES_UP_AFTER_MS = 2_500
 
 /** Callers that ask for addresses, keep connections open and send attempts until they are stopped. */
 export class Callers {
@@ -160,8 +162,8 @@
           host: HOST,
           ...writeAttempt({ id, key, timeLeft, isStream: kind === 'streaming' }),
         },
-        headersTimeout: 3 * timeLeft,
-        bodyTimeout: 3 * timeLeft,
+        headersTimeout: timeLeft + GIVES_UP_AFTER_MS,
+        bodyTimeout: timeLeft + GIVES_UP_AFTER_MS,
         ...(kind !== 'safe' && { body: 'soak' }),
       },
       handler,
--- a/packages/soak/src/world/upstreams.ts
+++ b/packages/soak/src/world/upstreams.ts
@@ -27,7 +27,7 @@
 /** An upstream writes its row this often, in ms. */
 const ROW_EVERY_MS = 1_200
 /** How long one that leaves serves on after it said so, in ms. */
-const SERVES_ON_MS = 3_200
+const SERVES_ON_MS = 4_500
 
 /** The upstreams behind the boxes, with their rows in the store. */
 export class Upstreams {
--- a/packages/soak/test/brokenBox.ts
+++ b/packages/soak/test/brokenBox.ts
@@ -51,10 +51,7 @@
       const safe = configuration.content.routes.find(route => route.name === 'safe')
       if (breaks !== 'configuration' || service === '') service = safe!.service
     }
-    const isUsable = (row: PlainRow) => breaks === 'draining' || row.content.state === 'ready'
-    const known = breaks === 'draining' ? upstreams : []
-    const fresh = rows.filter(row => isUsable(row) && !known.some(({ key }) => key === row.key))
-    upstreams = [...known, ...fresh]
+    upstreams = rows.filter(row => breaks === 'draining' || row.content.state === 'ready')
   }
 
   function forward(message: IncomingMessage, response: ServerResponse): void {
@@ -82,8 +79,9 @@
     onAnswer: (answer: IncomingMessage) => void,
   ): void {
     const [host, port] = upstream.content.address.split(':') as [string, string]
+    const { 'content-length': _length, 'transfer-encoding': _encoding, ...given } = message.headers
     const headers = {
-      ...message.headers,
+      ...given,
       'expect-instance': upstream.key,
       tenant: 'morne',
       ...(isStream && { model: 'large' }),
@@ -125,7 +123,7 @@
     box: place.box,
     place,
     start() {
-      if (isDown) return
+      if (isDown || entry.listening) return
       entry.listen(ports.entry, ip)
       directory.listen(ports.directory, ip)
     },
