--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -71,10 +71,10 @@
 const READERS = 2
 /**
  * Part of the time for honouring a taken-away key after which the box stops, unless it has a younger proof. Proofs count
- * from when the read was sent and requests from when they arrived, so that all of it may be used; the rest is for
- * clocks that drift.
+ * from when the read was sent and requests from when they arrived. What is left covers feeds, which say nothing of a
+ * change for up to a second while the store drops its history (seen on days with that fault), and clocks that drift.
  */
-const KEY_MARGIN = 0.92
+const KEY_MARGIN = 0.78
 /** A 401 or 404 is given only with a copy younger than this; the operators' changes reach all boxes sooner. */
 const REFUSALS_WITHIN: Milliseconds = 2_500
 /** Part of an upstream's connections that all boxes together use. */
