--- a/packages/soak/src/node/main.ts
+++ b/packages/soak/src/node/main.ts
@@ -1,4 +1,4 @@
-import { writeFileSync } from 'node:fs'
+import { readFileSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -8,8 +8,25 @@
 const PROGRAM = fileURLToPath(
   new URL('../../../../../target/yewkeel-platform.cjs', import.meta.url),
 )
+const REGRESSIONS = fileURLToPath(new URL('../../../regressions.json', import.meta.url))
 const RANGE = /^(\d+)(?:-(\d+))?$/
 
+/** A seed that failed once, and why. */
+interface Regression {
+  seed: number
+  seconds: number
+  boxes: number
+  cause: string
+}
+
+/** The seeds of a range, each with the same options. */
+function readRange(text: string): number[] {
+  const range = RANGE.exec(text)
+  if (!range) throw new Error(`--seeds ${text}: give FROM-TO, as 1-50`)
+  const from = Number(range[1])
+  return Array.from({ length: Number(range[2] ?? from) - from + 1 }, (_, at) => from + at)
+}
+
 const command = defineCommand({
   meta: {
     name: 'soak',
@@ -25,23 +42,27 @@
     boxes: { type: 'string', default: '4' },
     callers: { type: 'string', default: '12' },
     parallel: { type: 'string', default: '2', description: 'seeds at the same time' },
+    regressions: {
+      type: 'boolean',
+      description: 'the seeds that failed once, in place of --seeds',
+    },
     json: { type: 'boolean', description: 'the last line is a JSON object' },
   },
   async run({ args }) {
-    const range = RANGE.exec(args.seeds)
-    if (!range) throw new Error(`--seeds ${args.seeds}: give FROM-TO, as 1-50`)
-    const from = Number(range[1])
-    const seeds = Array.from({ length: Number(range[2] ?? from) - from + 1 }, (_, at) => from + at)
     const results: SeedResult[] = []
-    const options = {
+    const common = {
       seconds: Number(args.seconds),
       boxes: Number(args.boxes),
       callers: Number(args.callers),
       program: PROGRAM,
     }
+    const regressions = JSON.parse(readFileSync(REGRESSIONS, 'utf8')) as Regression[]
+    const runs = args.regressions
+      ? regressions.map(({ seed, seconds, boxes }) => ({ ...common, seed, seconds, boxes }))
+      : readRange(args.seeds).map(seed => ({ ...common, seed }))
     const work = async () => {
-      for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
-        const result = await runSeed({ ...options, seed })
+      for (let options = runs.shift(); options; options = runs.shift()) {
+        const result = await runSeed(options)
         results.push(result)
         report(result)
       }
