Soak: a delay keeps the order; the circle of imports in packages/box is open

Ruled out: the boxes (the order is wrong in a direction that only the proxy delays; a test of the proxy alone shows it). Change: createOrderedDelay; completionTask.ts holds what answerCompletion, judgeStage and relayCompletion share.

--- a/packages/box/src/requests/answerCompletion.ts
+++ b/packages/box/src/requests/answerCompletion.ts
@@ -1,43 +1,20 @@
-import {
-  costOf,
-  formatVersion,
-  prefixBlocks,
-  refuseNotRun,
-  type ModelVersion,
-  type Refusal,
-  type RequestOutlook,
-} from '@yewkeel/decisions'
+import { costOf, prefixBlocks, refuseNotRun, type Refusal } from '@yewkeel/decisions'
 import { Result } from 'true-myth'
-import type { RequestContext, SendPlan } from '../types/context.js'
-import type { UpstreamRequest } from '../types/ports.js'
+import type { RequestContext } from '../types/context.js'
 import { answerRefusal } from './answerRefusal.js'
 import { BillKeeper } from './billKeeper.js'
-import { refuseStaleTable } from './filters.js'
+import type { CompletionTask } from './completionTask.js'
+import { answerJudged, judgeStage, type JudgedAnswer } from './judgeStage.js'
 import { parseCompletion, type Completion } from './parseCompletion.js'
 import { relayCompletion } from './relayCompletion.js'
-import { checkVersion, resolveSession, type SessionVersions } from './resolveSession.js'
-import { answerJudged, judgeStage, type JudgedAnswer } from './judgeStage.js'
-import { withTrueVerdict, type SendOptions } from './sendToUpstream.js'
+import { resolveSession } from './resolveSession.js'
+import { withTrueVerdict } from './sendToUpstream.js'
 
 /** The model name that leaves the choice to the cascade of the request's kind. */
 const AUTO = 'auto'
-const PRIORITY_NUMBERS = { high: 0, normal: 5, low: 10 }
 const USUAL_ANSWER_TOKENS = 256
 const USUAL_TOKEN_MILLISECONDS = 30
 
-/** A completion on its way through its stages. */
-export interface CompletionTask {
-  context: RequestContext
-  completion: Completion
-  versions: SessionVersions
-  bill: BillKeeper
-  /** Prefix blocks of the prompt, in which cache look-ups are made. */
-  blocks: number[]
-  excluded: Set<string>
-  /** What the plan of the cascade promises, once it is made. */
-  promised?: number
-}
-
 /** Answers a chat completion, plain or streaming, through one model or a cascade of them. */
 export async function answerCompletion(context: RequestContext): Promise<void> {
   const { services, responder, request, id, organisation, limit } = context
@@ -159,73 +136,3 @@
   }
   return refuseNotRun('spend-exhausted', 'the organisation has spent its limit for today')
 }
-
-/** How a completion is sent to an engine. `extra` overrides fields of the caller's body. */
-export function sendOptionsFor(
-  task: CompletionTask,
-  version: ModelVersion,
-  extra: Record<string, unknown>,
-): SendOptions {
-  const { context, completion, blocks, excluded, bill } = task
-  const { services, limit } = context
-  const served = formatVersion(version)
-  const cached = services.upstreams.prefixes.match(blocks)
-  const plan: SendPlan = {
-    served,
-    mayRepeat: true,
-    admission: {
-      organisation: context.organisation,
-      priority: limit.priority,
-      isCall: false,
-      deadline: context.receivedAt + services.settings.limits.firstTokenMilliseconds,
-    },
-  }
-  const outlook: RequestOutlook = {
-    dataCentre: services.settings.dataCentre,
-    promptTokens: completion.promptTokens,
-    cachedTokensOf: upstream => cached.get(upstream) ?? 0,
-  }
-  return {
-    plan,
-    outlook,
-    affine: [...cached.keys()].flatMap(id => services.upstreams.views.get(id) ?? []),
-    excluded,
-    buildRequest: (_view, streamId) => buildRequest(task, served, streamId, extra),
-    checkBefore: () => checkBefore(context, version),
-    onChosen(view, streamId) {
-      bill.open(view.id, streamId)
-      services.upstreams.prefixes.note(blocks, view.id)
-    },
-  }
-}
-
-/** A paused box wakes here: the table is looked at again before each try. */
-function checkBefore(context: RequestContext, version: ModelVersion): Refusal | undefined {
-  const stale = refuseStaleTable(context)
-  if (stale) return stale
-  const rights = context.services.table.rights()
-  return checkVersion({ rights, organisation: context.organisation }, version)
-}
-
-function buildRequest(
-  { context, completion }: CompletionTask,
-  served: string,
-  streamId: string,
-  extra: Record<string, unknown>,
-): UpstreamRequest {
-  const { body, kind, largestAnswer } = completion
-  return {
-    method: 'POST',
-    path: '/v1/chat/completions',
-    headers: { 'content-type': 'application/json', 'x-request-id': streamId },
-    body: JSON.stringify({
-      ...body,
-      model: served,
-      max_tokens: largestAnswer,
-      priority: PRIORITY_NUMBERS[context.limit.priority],
-      metadata: { ...body.metadata, kind },
-      ...(body.stream && { stream_options: { include_usage: true } }),
-      ...extra,
-    }),
-  }
-}
--- /dev/null
+++ b/packages/box/src/requests/completionTask.ts
@@ -0,0 +1,98 @@
+import {
+  formatVersion,
+  type ModelVersion,
+  type Refusal,
+  type RequestOutlook,
+} from '@yewkeel/decisions'
+import type { RequestContext, SendPlan } from '../types/context.js'
+import type { UpstreamRequest } from '../types/ports.js'
+import type { BillKeeper } from './billKeeper.js'
+import { refuseStaleTable } from './filters.js'
+import type { Completion } from './parseCompletion.js'
+import { checkVersion, type SessionVersions } from './resolveSession.js'
+import type { SendOptions } from './sendToUpstream.js'
+
+const PRIORITY_NUMBERS = { high: 0, normal: 5, low: 10 }
+
+/** A completion on its way through its stages. */
+export interface CompletionTask {
+  context: RequestContext
+  completion: Completion
+  versions: SessionVersions
+  bill: BillKeeper
+  /** Prefix blocks of the prompt, in which cache look-ups are made. */
+  blocks: number[]
+  excluded: Set<string>
+  /** What the plan of the cascade promises, once it is made. */
+  promised?: number
+}
+
+/** How a completion is sent to an engine. `extra` overrides fields of the caller's body. */
+export function sendOptionsFor(
+  task: CompletionTask,
+  version: ModelVersion,
+  extra: Record<string, unknown>,
+): SendOptions {
+  const { context, completion, blocks, excluded, bill } = task
+  const { services, limit } = context
+  const served = formatVersion(version)
+  const cached = services.upstreams.prefixes.match(blocks)
+  const plan: SendPlan = {
+    served,
+    mayRepeat: true,
+    admission: {
+      organisation: context.organisation,
+      priority: limit.priority,
+      isCall: false,
+      deadline: context.receivedAt + services.settings.limits.firstTokenMilliseconds,
+    },
+  }
+  const outlook: RequestOutlook = {
+    dataCentre: services.settings.dataCentre,
+    promptTokens: completion.promptTokens,
+    cachedTokensOf: upstream => cached.get(upstream) ?? 0,
+  }
+  return {
+    plan,
+    outlook,
+    affine: [...cached.keys()].flatMap(id => services.upstreams.views.get(id) ?? []),
+    excluded,
+    buildRequest: (_view, streamId) => buildRequest(task, served, streamId, extra),
+    checkBefore: () => checkBefore(context, version),
+    onChosen(view, streamId) {
+      bill.open(view.id, streamId)
+      services.upstreams.prefixes.note(blocks, view.id)
+    },
+  }
+}
+
+/** A paused box wakes here: the table is looked at again before each try. */
+function checkBefore(context: RequestContext, version: ModelVersion): Refusal | undefined {
+  const stale = refuseStaleTable(context)
+  if (stale) return stale
+  const rights = context.services.table.rights()
+  return checkVersion({ rights, organisation: context.organisation }, version)
+}
+
+function buildRequest(
+  { context, completion }: CompletionTask,
+  served: string,
+  streamId: string,
+  extra: Record<string, unknown>,
+): UpstreamRequest {
+  const { body, kind, largestAnswer } = completion
+  return {
+    method: 'POST',
+    path: '/v1/chat/completions',
+    headers: { 'content-type': 'application/json', 'x-request-id': streamId },
+    body: JSON.stringify({
+      ...body,
+      model: served,
+      max_tokens: largestAnswer,
+      priority: PRIORITY_NUMBERS[context.limit.priority],
+      metadata: { ...body.metadata, kind },
+      ...(body.stream && { stream_options: { include_usage: true } }),
+      ...extra,
+    }),
+  }
+}
--- a/packages/box/src/requests/judgeStage.ts
+++ b/packages/box/src/requests/judgeStage.ts
@@ -1,6 +1,6 @@
 import { formatVersion, type ModelVersion } from '@yewkeel/decisions'
 import { readText } from '../tasks/upstreamTask.js'
-import { sendOptionsFor, type CompletionTask } from './answerCompletion.js'
+import { sendOptionsFor, type CompletionTask } from './completionTask.js'
 import { readUsage } from './eventStream.js'
 import { answerHeaders, noteServed } from './relayCompletion.js'
 import { sendToUpstream, type OpenAnswer } from './sendToUpstream.js'
--- a/packages/box/src/requests/relayCompletion.ts
+++ b/packages/box/src/requests/relayCompletion.ts
@@ -8,7 +8,7 @@
 import type { RequestContext } from '../types/context.js'
 import type { TakeOutcome, UpstreamAnswer } from '../types/ports.js'
 import { readText } from '../tasks/upstreamTask.js'
-import { sendOptionsFor, type CompletionTask } from './answerCompletion.js'
+import { sendOptionsFor, type CompletionTask } from './completionTask.js'
 import { endStreamWithRefusal } from './answerRefusal.js'
 import { forEachPiece, lastEventId, modelOf, readUsage, splitEnd, usageIn } from './eventStream.js'
 import { sendToUpstream, type OpenAnswer } from './sendToUpstream.js'
--- a/packages/decisions/src/listing/pickUpstream.ts
+++ b/packages/decisions/src/listing/pickUpstream.ts
@@ -23,6 +23,7 @@
   whole: Milliseconds
   /** Reading the parts that other requests share. */
   shared: Milliseconds
+  /** Tokens of the parts that other requests share. */
   sharedTokens: number
   /** Names the shared parts for the model; undefined when there are none. */
   homeKey?: string
@@ -55,7 +56,10 @@
  * a long prompt's worth, which a tenth of a second of waiting costs at the most.
  */
 const KEPT_WORTH: Milliseconds = 20
-/** The second home takes what the first has no time for: a text that many ask for is then kept in two places. */
+/**
+ * Part of what a home is worth, for the first and the second one: the second takes what the first has no time for, so that
+ * a text that many ask for is kept in two places. A fifth is more than chance and leaves the first its own.
+ */
 const HOME_SHARES = [1, 0.2]
 /** Costs this close are equal: chance decides, so that boxes do not all choose the same. */
 const TIE: Milliseconds = 4
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -56,7 +56,7 @@
   readonly records: TryRecord[] = []
   /** Versions that the request may run on: drawn once, so that all of its tries agree. */
   readonly admits: (version: string) => boolean
-  /** What a model thought of its answer to this request, the newest one. */
+  /** The newest opinion that a model gave of its answer to this request. */
   doubted: { model: string; confidence: number } | undefined
   #exchange: RunningExchange | undefined
   #retryAfter: Milliseconds | undefined
--- a/packages/soak/src/faults/loopbackProxy.ts
+++ b/packages/soak/src/faults/loopbackProxy.ts
@@ -14,6 +14,19 @@
 /** One way of each chunk while connections are delayed, in ms: some times a slow link's. */
 const DELAY_MS = 120
 
+/** Runs work after a delay, and always in the order in which it came: timers alone may change places. */
+export function createOrderedDelay(delay: () => number): (work: () => void) => void {
+  const waiting: { dueAt: number; work: () => void }[] = []
+  const run = () => {
+    while (waiting.length > 0 && waiting[0]!.dueAt <= performance.now()) waiting.shift()!.work()
+    if (waiting.length > 0) setTimeout(run, Math.max(1, waiting[0]!.dueAt - performance.now()))
+  }
+  return work => {
+    waiting.push({ dueAt: performance.now() + delay(), work })
+    if (waiting.length === 1) run()
+  }
+}
+
 /** A TCP proxy on loopback that does to connections what networks do. `target` is asked at each new connection. */
 export async function startLoopbackProxy(
   host: string,
@@ -27,14 +40,7 @@
     socket.on('error', () => socket.destroy())
   }
   const relay = (from: Socket, to: Socket, isBack: boolean) => {
-    let lastDueAt = 0
-    // What was delayed is never overtaken by what comes after it.
-    const later = (work: () => void) => {
-      const now = performance.now()
-      lastDueAt = Math.max(lastDueAt, now + (mode === 'delay' ? DELAY_MS : 0))
-      if (lastDueAt <= now) return work()
-      setTimeout(work, lastDueAt - now)
-    }
+    const later = createOrderedDelay(() => (mode === 'delay' ? DELAY_MS : 0))
     from.on('data', chunk => {
       if (mode === 'silent' || (mode === 'silent-back' && isBack)) return
       later(() => to.destroyed || to.write(chunk))
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { createSeededRandom } from '@yewkeel/decisions'
 import {
+  createOrderedDelay,
   Evidence,
   findViolations,
   planFaults,
@@ -106,6 +107,23 @@
   })
 })
 
+describe('the proxy of the soak', () => {
+  it('keeps the order of what it delays when the delay ends', async () => {
+    for (let round = 0; round < 20; round++) {
+      let delay = 12
+      const seen: number[] = []
+      const later = createOrderedDelay(() => delay)
+      await new Promise<void>(resolve => {
+        later(() => seen.push(1))
+        delay = 0
+        for (const number of [2, 3]) later(() => seen.push(number))
+        later(resolve)
+      })
+      expect(seen).to.deep.equal([1, 2, 3])
+    }
+  })
+})
+
 /** What brings each promise to light in a box that breaks it. */
 const PLANS: Record<PromiseName, PlannedFault[]> = {
   'own-answer': [],
