--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -201,6 +201,31 @@
     expect((await ask(running, { model: '*' })).text).to.equal(events(1, 2))
   })
 
+  it('ends the work of an upstream when its caller has left, before and in the middle of the answer', async () => {
+    for (const says of ['', events(1, 2)]) {
+      let wasLeft = false
+      const goesOn: Behaviour = (message, response) => {
+        message.socket.once('close', () => (wasLeft = true))
+        if (says === '') return
+        response.writeHead(200, { signed: '1', id: message.headers.id as string })
+        response.write(says)
+      }
+      const upstream = await startUpstream('u1', goesOn)
+      const running = await start([upstream], { routes: [STREAM] })
+      const [host, port] = running.entry.address.split(':')
+      const socket = connect(Number(port), host)
+      let got = ''
+      socket.on('data', chunk => (got += String(chunk)))
+      socket.write('GET /desk/1 HTTP/1.1\r\nhost: 127.0.0.1\r\nid: r1\r\ntime-left: 5000\r\n\r\n')
+      await running.until(() => upstream.requests.length > 0 && got.includes(says))
+      const leftAt = running.clock.now()
+      socket.destroy()
+      await running.until(() => wasLeft)
+      expect(running.clock.now() - leftAt).to.be.below(500)
+      expect(running.lines.at(-1)?.outcome).to.equal('caller-left')
+    }
+  })
+
   it('moves a stream whose upstream has fallen silent', async () => {
     const stalls: Behaviour = (message, response) => {
       if (message.headers['last-event-id'] !== undefined) return streams(3, 4)(message, response)
--- a/packages/soak/src/node/main.ts
+++ b/packages/soak/src/node/main.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { defineCommand, runMain } from 'citty'
-import { runSeed, type SeedResult } from '../runSeed.js'
+import { runSeed, type SeedOptions, type SeedResult } from '../runSeed.js'
 
 const PROGRAM = fileURLToPath(
   new URL('../../../../../target/yewkeel-platform.cjs', import.meta.url),
@@ -49,41 +49,73 @@
     json: { type: 'boolean', description: 'the last line is a JSON object' },
   },
   async run({ args }) {
-    const results: SeedResult[] = []
-    const common = {
-      seconds: Number(args.seconds),
-      boxes: Number(args.boxes),
-      callers: Number(args.callers),
-      program: PROGRAM,
-    }
-    const regressions = JSON.parse(readFileSync(REGRESSIONS, 'utf8')) as Regression[]
-    const runs = args.regressions
-      ? regressions.map(({ seed, seconds, boxes }) => ({ ...common, seed, seconds, boxes }))
-      : readRange(args.seeds).map(seed => ({ ...common, seed }))
-    const work = async () => {
-      for (let options = runs.shift(); options; options = runs.shift()) {
-        const result = await runSeed(options)
-        results.push(result)
-        report(result)
-      }
-    }
-    await Promise.all(Array.from({ length: Number(args.parallel) }, work))
-    const failed = results.filter(({ violations }) => violations.length > 0)
-    const sum = (of: (result: SeedResult) => number) =>
-      results.reduce((total, result) => total + of(result), 0)
-    const summary = {
-      seeds: results.length,
-      requests: sum(({ requests }) => requests),
-      served: sum(({ served }) => served),
-      faults: sum(({ faults }) => faults),
-      violations: sum(({ violations }) => violations.length),
-      failedSeeds: failed.map(({ seed }) => seed).sort((left, right) => left - right),
-    }
+    const results = await runAll(resolveRuns(args), Number(args.parallel))
+    const summary = summaryOf(results)
     console.log(args.json ? JSON.stringify(summary) : summary)
-    process.exit(failed.length > 0 ? 1 : 0)
+    process.exit(summary.violations > 0 ? 1 : 0)
   },
 })
 
+interface SoakArguments {
+  seeds: string
+  seconds: string
+  boxes: string
+  callers: string
+  regressions?: boolean | undefined
+}
+
+/** The seeds to run, each with its options. */
+function resolveRuns({
+  seeds,
+  seconds,
+  boxes,
+  callers,
+  regressions,
+}: SoakArguments): SeedOptions[] {
+  const common = {
+    seconds: Number(seconds),
+    boxes: Number(boxes),
+    callers: Number(callers),
+    program: PROGRAM,
+  }
+  if (!regressions) return readRange(seeds).map(seed => ({ ...common, seed }))
+  const known = JSON.parse(readFileSync(REGRESSIONS, 'utf8')) as Regression[]
+  return known.map(regression => ({
+    ...common,
+    seed: regression.seed,
+    seconds: regression.seconds,
+    boxes: regression.boxes,
+  }))
+}
+
+/** Runs some seeds at the same time, and tells of each when it has ended. */
+async function runAll(runs: SeedOptions[], parallel: number): Promise<SeedResult[]> {
+  const results: SeedResult[] = []
+  const work = async () => {
+    for (let options = runs.shift(); options; options = runs.shift()) {
+      const result = await runSeed(options)
+      results.push(result)
+      report(result)
+    }
+  }
+  await Promise.all(Array.from({ length: parallel }, work))
+  return results
+}
+
+function summaryOf(results: readonly SeedResult[]) {
+  const sum = (of: (result: SeedResult) => number) =>
+    results.reduce((total, result) => total + of(result), 0)
+  const failed = results.filter(({ violations }) => violations.length > 0)
+  return {
+    seeds: results.length,
+    requests: sum(({ requests }) => requests),
+    served: sum(({ served }) => served),
+    faults: sum(({ faults }) => faults),
+    violations: sum(({ violations }) => violations.length),
+    failedSeeds: failed.map(({ seed }) => seed).sort((left, right) => left - right),
+  }
+}
+
 function report({ seed, requests, served, faults, violations, outputs }: SeedResult): void {
   console.log(`seed ${seed}: ${requests} requests, ${served} served, ${faults} faults`)
   for (const { promise, detail } of violations) console.log(`  ${promise}: ${detail}`)
