--- a/packages/proof/src/measures/faults.ts
+++ b/packages/proof/src/measures/faults.ts
@@ -147,7 +147,18 @@
   'two-boxes-killed': both(boxKilled(VICTIM), boxKilled(2)),
 }
 
-const QUICK_CASES = ['none', 'store-out-60s', 'box-killed', 'box-paused-15s']
+/** The calm case and eight faults, one of each part that can fail. */
+const QUICK_CASES = [
+  'none',
+  'store-out-60s',
+  'store-slow',
+  'box-killed',
+  'box-paused-15s',
+  'box-cut-off',
+  'boxes-rolled',
+  'upstreams-fail',
+  'two-boxes-killed',
+]
 
 /** Whole boxes under faults on a moved clock: what callers got, and which promises broke. */
 export const measureFaults: Measure = async ({ seeds, quick }, note) => {
