--- a/packages/soak/src/faults/loopbackProxy.ts
+++ b/packages/soak/src/faults/loopbackProxy.ts
@@ -1,4 +1,7 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { createSystemClock } from '@yewkeel/decisions'
+
+const clock = createSystemClock()
 
 /** What a proxy does to its connections: both ways, or only to what comes back from its target. */
 export type ProxyMode = 'pass' | 'delay' | 'reset' | 'silent' | 'silent-back'
@@ -18,11 +21,11 @@
 export function createOrderedDelay(delay: () => number): (work: () => void) => void {
   const waiting: { dueAt: number; work: () => void }[] = []
   const run = () => {
-    while (waiting.length > 0 && waiting[0]!.dueAt <= performance.now()) waiting.shift()!.work()
-    if (waiting.length > 0) setTimeout(run, Math.max(1, waiting[0]!.dueAt - performance.now()))
+    while (waiting.length > 0 && waiting[0]!.dueAt <= clock.now()) waiting.shift()!.work()
+    if (waiting.length > 0) clock.after(Math.max(1, waiting[0]!.dueAt - clock.now()), run)
   }
   return work => {
-    waiting.push({ dueAt: performance.now() + delay(), work })
+    waiting.push({ dueAt: clock.now() + delay(), work })
     if (waiting.length === 1) run()
   }
 }
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -4,7 +4,7 @@
   writeConfiguration,
   type DeploymentBounds,
 } from '@yewkeel/platform/stand-ins'
-import { createSeededRandom, type Random } from '@yewkeel/decisions'
+import { createSeededRandom, createSystemClock, type Random } from '@yewkeel/decisions'
 import { Evidence } from './checks/evidence.js'
 import { findViolations } from './checks/promises.js'
 import type { FaultSpan, Violation } from './checks/seen.js'
@@ -64,7 +64,7 @@
   const { seed, seconds } = options
   const random = createSeededRandom(seed)
   const evidence = new Evidence()
-  const now = () => performance.now()
+  const { now } = createSystemClock()
   const rows = await startRowsStandIn({ pageSize: 100, feedsWait: true })
   const operators = createOperators(rows, evidence, now)
   const upstreams = new Upstreams({ host: hostOf(seed, 0), rows, random, evidence, now })
