A doubted engine may be asked again

Cause: a request whose first answer was doubtful never went back to the engine that gave it. Change: the upstream of a doubtful answer is not counted as tried; the time until a larger model begins includes it.

--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -52,6 +52,7 @@
       return
     }
     if (outcome.type === 'doubted') {
+      run.forgiveLastTry()
       model = outcome.next
       continue
     }
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -110,11 +110,15 @@
     return takeRetry(retries, boxCount(), clock.now())
   }
 
-  /** How long it would take until an answer of a model begins. Infinite when no upstream takes the request. */
+  /**
+   * How long it would take until another model's answer begins, the last upstream included. Infinite when no upstream
+   * takes the request.
+   */
   beginsWithin(model: string): Milliseconds {
     const { upstreams, work } = this.services
     const prompt = work.promptWork(this.admitted.fields, model)
-    return upstreams.beginsWithin({ ...this.#query(prompt), prompt })
+    const tried = this.tried.slice(0, -1)
+    return upstreams.beginsWithin({ ...this.#query(prompt), tried, prompt })
   }
 
   #query(prompt: PromptWork | undefined): PickQuery {
@@ -184,6 +188,13 @@
     return exchange
   }
 
+  /**
+   * The upstream did nothing wrong, only its model's answer was doubtful: it may be asked for that of another model.
+   */
+  forgiveLastTry(): void {
+    this.tried.pop()
+  }
+
   /** The last try never reached its upstream, so it does not count. */
   takeBackSend(): void {
     this.sends--
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -201,6 +201,18 @@
     expect((await ask(running, { model: '*' })).text).to.equal(events(1, 2))
   })
 
+  it('asks the upstream of a doubtful answer for that of the largest model when it has no other', async () => {
+    const byModel: Behaviour = (message, response) => {
+      const isSmall = message.headers.model === 'small'
+      streams(1, isSmall ? 9 : 2, isSmall ? 10 : 80)(message, response)
+    }
+    const route = { ...STREAM, models: ['small', 'large'] }
+    const only = await startUpstream('u1', byModel)
+    const running = await start([only], { routes: [route] })
+    expect((await ask(running, { model: '*' })).text).to.equal(events(1, 2))
+    expect(only.requests.map(({ headers }) => headers.model)).to.deep.equal(['small', 'large'])
+  })
+
   it('ends the work of an upstream when its caller has left, before and in the middle of the answer', async () => {
     for (const says of ['', events(1, 2)]) {
       let wasLeft = false
