Upstreams that lost their power are found by connections that do not open

Cause: an engine without power says nothing. Ruled out: a shorter time of silence, which moves prompts away from engines that are only busy. Change: a silent upstream is probed by opening a connection (after 0.4 s, then less often); connections open within 200 ms or fail, on the box's clock. One that does not answer is ejected, its streams go on elsewhere at once, and it is probed until it answers. A box that hears no other upstream blames none.

--- a/packages/decisions/src/listing/exchangeHealth.ts
+++ b/packages/decisions/src/listing/exchangeHealth.ts
@@ -2,9 +2,10 @@
 
 /**
  * How one exchange with an upstream went. `shed`: it said that it did not run the request. `failed`: it ran it
- * and answered with an error or with wrong bytes. `lost`: no answer, a reset, or a connection that did not open.
+ * and answered with an error or with wrong bytes. `lost`: no answer, a reset, or a connection that was refused.
+ * `unreachable`: the opening of a connection was not answered, though other upstreams were heard meanwhile.
  */
-export type ExchangeOutcome = 'good' | 'shed' | 'failed' | 'lost'
+export type ExchangeOutcome = 'good' | 'shed' | 'failed' | 'lost' | 'unreachable'
 
 /** What this box has seen of one upstream. */
 export interface ExchangeHealth {
@@ -16,6 +17,8 @@
   ejections: number
   ejectedUntil: Milliseconds
   lastHeardAt: Milliseconds
+  /** Ejected until it answers again, however long that takes. */
+  isUnreachable: boolean
 }
 
 /** Weight of the newest exchange in the moving share: about the last ten count. */
@@ -39,10 +42,17 @@
     ejections: 0,
     ejectedUntil: 0,
     lastHeardAt: now,
+    isUnreachable: false,
   }
 }
 
-const IS_BAD: Record<ExchangeOutcome, number> = { good: 0, shed: 0, failed: 1, lost: 1 }
+const IS_BAD: Record<ExchangeOutcome, number> = {
+  good: 0,
+  shed: 0,
+  failed: 1,
+  lost: 1,
+  unreachable: 1,
+}
 
 /**
  * Takes the outcome of one exchange. `othersBadShare` is the mean share of the other upstreams of the
@@ -56,6 +66,11 @@
 ): boolean {
   health.badShare += SHARE_WEIGHT * (IS_BAD[outcome] - health.badShare)
   health.samples++
+  if (outcome === 'unreachable') {
+    const isNews = !health.isUnreachable
+    health.isUnreachable = true
+    return isNews
+  }
   health.lostInARow = outcome === 'lost' ? health.lostInARow + 1 : 0
   if (outcome !== 'lost') health.lastHeardAt = now
   if (outcome === 'good' && health.badShare < SHARE_WEIGHT) health.ejections = 0
@@ -79,6 +94,11 @@
   health.badShare = SHARE_FLOOR * 0.75
 }
 
+/** It answers the opening of connections again. */
+export function noteReachable(health: ExchangeHealth): void {
+  health.isUnreachable = false
+}
+
 export function isEjected(health: ExchangeHealth, now: Milliseconds): boolean {
-  return now < health.ejectedUntil
+  return health.isUnreachable || now < health.ejectedUntil
 }
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -8,6 +8,7 @@
   type Route,
   type Timer,
 } from '@yewkeel/decisions'
+import { probeConnection } from './node/connectInTime.js'
 import { admitCaller, type Rejection } from './requests/admitCaller.js'
 import { forwardCall } from './requests/forwardCall.js'
 import { ForwardedRequest } from './requests/forwardedRequest.js'
@@ -17,6 +18,7 @@
 import { EntryTask } from './tasks/entryTask.js'
 import { OperatorTask } from './tasks/operatorTask.js'
 import { PeerTask } from './tasks/peerTask.js'
+import { ReachabilityWatch } from './tasks/reachabilityWatch.js'
 import { RolloutTask } from './tasks/rolloutTask.js'
 import { StoreReader } from './tasks/storeReader.js'
 import { UpstreamDirectory } from './tasks/upstreamDirectory.js'
@@ -118,6 +120,17 @@
     metrics,
     work,
     knowsFarWork: () => peers.isMesh,
+    onUnreachable(upstream) {
+      services.stalls.giveUpOn(upstream)
+      reachability.awaitReturn(upstream)
+    },
+  })
+  const reachability = new ReachabilityWatch({
+    clock,
+    probe: ({ listed }) => probeConnection(listed.address, clock),
+    isListed: upstream => upstreams.isListed(upstream),
+    onUnreachable: upstream => upstreams.noteOutcome(upstream, 'unreachable'),
+    onReachable: upstream => upstreams.noteReturned(upstream),
   })
   const rollouts: RolloutTask = new RolloutTask({
     clock,
@@ -240,7 +253,7 @@
     work,
     retries: createRetryShare(settings.retries),
     gains: createConfidenceGains(),
-    stalls: new StallWatch(clock),
+    stalls: new StallWatch(clock, reachability),
     boxCount: () => peers.live().length + 1,
     channelLimit(service) {
       const most = operators.index?.service(service)?.maxConnections ?? Infinity
--- a/packages/gateway/src/node/upstreamChannels.ts
+++ b/packages/gateway/src/node/upstreamChannels.ts
@@ -1,7 +1,8 @@
-import type { Milliseconds } from '@yewkeel/decisions'
+import type { Clock, Milliseconds } from '@yewkeel/decisions'
 import type { Socket } from 'node:net'
-import { buildConnector, Client, type Dispatcher } from 'undici'
+import { Client, type Dispatcher } from 'undici'
 import type { RawHeaders } from '../types/ports.js'
+import { createConnectInTime } from './connectInTime.js'
 
 /** A request as it goes to an upstream. */
 export interface ExchangeRequest {
@@ -28,8 +29,6 @@
   cancel(): void
 }
 
-/** Connections between machines of one region open in a few milliseconds; a lost opening packet takes a second. */
-const CONNECT_TIMEOUT: Milliseconds = 350
 /** Idle connections are closed after this, unless the upstream names a shorter time. */
 const IDLE_TIMEOUT: Milliseconds = 8_000
 /** Closed this much sooner than the upstream would. */
@@ -41,15 +40,19 @@
   isBroken: boolean
 }
 
-const connect = buildConnector({ timeout: CONNECT_TIMEOUT })
-
 /** The connections of this box to one upstream. One request at a time on each; idle ones are used again. */
 export class UpstreamChannels {
   readonly #idle: Channel[] = []
   readonly #open = new Set<Channel>()
+  readonly #connect: ReturnType<typeof createConnectInTime>
   #isRetired = false
 
-  constructor(private readonly address: string) {}
+  constructor(
+    private readonly address: string,
+    clock: Clock,
+  ) {
+    this.#connect = createConnectInTime(clock)
+  }
 
   get open(): number {
     return this.#open.size
@@ -126,7 +129,7 @@
     const client = new Client(`http://${this.address}`, {
       pipelining: 1,
       connect: (options, callback) =>
-        connect(options, (...result) => {
+        this.#connect(options, (...result) => {
           const [, socket] = result
           if (socket) watchBreak(socket, channel)
           callback(...result)
--- a/packages/gateway/src/requests/exchangeWithUpstream.ts
+++ b/packages/gateway/src/requests/exchangeWithUpstream.ts
@@ -1,4 +1,5 @@
-import type { Milliseconds } from '@yewkeel/decisions'
+import type { ExchangeOutcome, Milliseconds } from '@yewkeel/decisions'
+import { UnreachableError } from '../node/connectInTime.js'
 import type { Exchange, ExchangeRequest } from '../node/upstreamChannels.js'
 import type { Upstream } from '../tasks/upstreamDirectory.js'
 import type { AnswerFields, Dialect, RawHeaders } from '../types/ports.js'
@@ -11,7 +12,17 @@
 }
 
 /** Why an exchange came to no whole answer. */
-export type ExchangeFault = 'connect' | 'reset' | 'foreign' | 'silent' | 'spoiled'
+export type ExchangeFault = 'connect' | 'foreign' | 'reset' | 'silent' | 'spoiled' | 'unreachable'
+
+/** What a fault says of its upstream. */
+export const OUTCOME_OF_FAULT: Record<ExchangeFault, ExchangeOutcome> = {
+  connect: 'lost',
+  foreign: 'lost',
+  reset: 'lost',
+  silent: 'failed',
+  spoiled: 'lost',
+  unreachable: 'unreachable',
+}
 
 /** What is told of an exchange while it runs. All calls come from the event loop, never from `start`. */
 export interface ExchangeHandler {
@@ -79,7 +90,9 @@
       if (finish()) handler.onEnd()
     },
     onFailure(error, wasSent) {
-      if (finish()) handler.onFault(wasSent ? 'reset' : 'connect', wasSent, error.message)
+      if (!finish()) return
+      const unsent = error instanceof UnreachableError ? 'unreachable' : 'connect'
+      handler.onFault(wasSent ? 'reset' : unsent, wasSent, error.message)
     },
   })
   return running
--- a/packages/gateway/src/requests/forwardCall.ts
+++ b/packages/gateway/src/requests/forwardCall.ts
@@ -44,7 +44,8 @@
 }
 
 function noteFault(run: ForwardedRequest, upstream: Upstream, outcome: CallFault): undefined {
-  run.noteTry(upstream, 'lost', `${outcome.fault}: ${outcome.detail}`)
+  const seen = outcome.fault === 'unreachable' ? 'unreachable' : 'lost'
+  run.noteTry(upstream, seen, `${outcome.fault}: ${outcome.detail}`)
   if (!outcome.wasSent) run.takeBackSend()
 }
 
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -8,7 +8,7 @@
 import type { AnswerBegin } from '../tasks/rolloutTask.js'
 import type { Upstream } from '../tasks/upstreamDirectory.js'
 import { EventRelay } from './eventRelay.js'
-import type { AnswerHead, ExchangeFault } from './exchangeWithUpstream.js'
+import { OUTCOME_OF_FAULT, type AnswerHead, type ExchangeFault } from './exchangeWithUpstream.js'
 import type { ForwardedRequest } from './forwardedRequest.js'
 import type { WatchedStream } from './stallWatch.js'
 
@@ -239,7 +239,7 @@
   #fail(fault: ExchangeFault, wasSent: boolean, detail: string): void {
     const { run, upstream } = this
     const model = this.#model
-    run.noteTry(upstream, fault === 'silent' ? 'failed' : 'lost', `${fault}: ${detail}`)
+    run.noteTry(upstream, OUTCOME_OF_FAULT[fault], `${fault}: ${detail}`)
     if (wasSent) {
       run.noteAnswer(upstream, model, false, undefined)
     } else {
--- a/packages/gateway/src/requests/stallWatch.ts
+++ b/packages/gateway/src/requests/stallWatch.ts
@@ -1,5 +1,7 @@
 import { every } from '@yewkeel/box'
 import type { Clock, Milliseconds } from '@yewkeel/decisions'
+import type { ReachabilityWatch } from '../tasks/reachabilityWatch.js'
+import type { Upstream } from '../tasks/upstreamDirectory.js'
 import type { RunningExchange } from './exchangeWithUpstream.js'
 
 /** A streamed answer under way, and how long its upstream may say nothing. */
@@ -21,10 +23,16 @@
 export class StallWatch {
   readonly #streams = new Set<WatchedStream>()
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly reachability: ReachabilityWatch,
+  ) {}
 
   start(): void {
-    every(this.clock, LOOK_EVERY, () => this.look())
+    every(this.clock, LOOK_EVERY, () => {
+      this.reachability.look(this.waitingSince())
+      this.look()
+    })
   }
 
   add(stream: WatchedStream): void {
@@ -35,6 +43,26 @@
     this.#streams.delete(stream)
   }
 
+  /** Upstreams with streams under way, and when the oldest of these was sent. */
+  waitingSince(): Map<Upstream, Milliseconds> {
+    const oldest = new Map<Upstream, Milliseconds>()
+    for (const { exchange } of this.#streams) {
+      const { upstream, startedAt } = exchange
+      oldest.set(upstream, Math.min(startedAt, oldest.get(upstream) ?? Infinity))
+    }
+    return oldest
+  }
+
+  /** All streams of an upstream that cannot be reached have stalled. */
+  giveUpOn(upstream: Upstream): void {
+    const now = this.clock.now()
+    for (const stream of this.#streams) {
+      const { exchange } = stream
+      if (exchange.upstream !== upstream) continue
+      if (stream.onStall(now - exchange.lastBytesAt)) this.#streams.delete(stream)
+    }
+  }
+
   look(): void {
     const now = this.clock.now()
     for (const stream of this.#streams) {
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -6,6 +6,7 @@
   noteExchange,
   noteListOutage,
   noteListReturn,
+  noteReachable,
   pickUpstream,
   takeUpstreamList,
   type Clock,
@@ -47,6 +48,8 @@
 const NO_LIST = -1
 /** What an upstream told of its load says little after this. */
 const TOLD_LOAD_LIFETIME: Milliseconds = 1_500
+/** A box that heard no other upstream for this long may itself be cut off: it blames none for that. */
+const HEARS_OTHERS_WITHIN: Milliseconds = 1_000
 
 export interface UpstreamDirectoryOptions {
   clock: Clock
@@ -57,6 +60,8 @@
   work: EngineWork
   /** Whether the boxes of other data centres tell this one what they have sent to upstreams. */
   knowsFarWork(): boolean
+  /** An upstream does not answer the opening of connections. */
+  onUnreachable(upstream: Upstream): void
 }
 
 /** The upstreams of the platform's list with what this box knows of each. */
@@ -162,11 +167,13 @@
     upstream.told = { load, own: upstream.inFlight, at: this.options.clock.now() }
   }
 
-  noteOutcome(upstream: Upstream, outcome: ExchangeOutcome): void {
-    const { clock, log, metrics } = this.options
+  noteOutcome(upstream: Upstream, seen: ExchangeOutcome): void {
+    const { clock, log, metrics, onUnreachable } = this.options
+    const outcome = seen === 'unreachable' && !this.#hearsOthers(upstream) ? 'lost' : seen
     metrics.count('exchanges', outcome)
     const others = this.#othersBadShare(upstream)
     if (!noteExchange(upstream.health, outcome, others, clock.now())) return
+    if (outcome === 'unreachable') onUnreachable(upstream)
     metrics.count('ejections', upstream.listed.service)
     const { id, service, address } = upstream.listed
     const { badShare, samples, ejections } = upstream.health
@@ -182,6 +189,24 @@
     })
   }
 
+  /** An upstream that could not be reached answers again. */
+  noteReturned(upstream: Upstream): void {
+    noteReachable(upstream.health)
+    const { id, service } = upstream.listed
+    this.options.log.note('upstream-reachable', { upstream: id, service })
+  }
+
+  isListed(upstream: Upstream): boolean {
+    return this.#upstreams.get(upstream.listed.id) === upstream
+  }
+
+  #hearsOthers(upstream: Upstream): boolean {
+    const since = this.options.clock.now() - HEARS_OTHERS_WITHIN
+    return [...this.#upstreams.values()].some(
+      other => other !== upstream && other.health.lastHeardAt > since,
+    )
+  }
+
   #othersBadShare(upstream: Upstream): number {
     let sum = 0
     let count = 0
@@ -196,7 +221,7 @@
   #keep(entry: ListedUpstream, now: Milliseconds): void {
     const known = this.#upstreams.get(entry.id)
     if (!known) {
-      const channels = new UpstreamChannels(entry.address)
+      const channels = new UpstreamChannels(entry.address, this.options.clock)
       const health = createExchangeHealth(now)
       this.#upstreams.set(entry.id, {
         listed: entry,
--- /dev/null
+++ b/packages/gateway/test/reachability.test.ts
@@ -0,0 +1,147 @@
+import { createServer, Socket, type AddressInfo } from 'node:net'
+import {
+  createExchangeHealth,
+  createSeededRandom,
+  ManualClock,
+  type ListedUpstream,
+} from '@yewkeel/decisions'
+import { expect } from 'chai'
+import {
+  createGatewayMetrics,
+  EngineWork,
+  limitOpening,
+  probeConnection,
+  ReachabilityWatch,
+  UnreachableError,
+  UpstreamDirectory,
+  type Upstream,
+} from '../src/index.js'
+
+function listed(id: string): ListedUpstream {
+  const address = '127.0.0.1:1'
+  const version = 'v1'
+  return { id, service: 'pool', address, dataCentre: 'a', version, slots: 4, state: 'ready' }
+}
+
+/** A directory of two upstreams, and those that it gave up on. */
+function createDirectory(clock: ManualClock) {
+  const unreachable: string[] = []
+  const directory = new UpstreamDirectory({
+    clock,
+    random: createSeededRandom(3),
+    dataCentre: 'a',
+    log: { note: () => {}, request: () => {} },
+    metrics: createGatewayMetrics(),
+    work: new EngineWork({ clock, tell: () => {} }),
+    knowsFarWork: () => true,
+    onUnreachable: upstream => void unreachable.push(upstream.listed.id),
+  })
+  directory.take([listed('one'), listed('two')], 1)
+  const query = { service: 'pool', admits: () => true, channelLimit: 9 }
+  const pick = (tried: string[]) => directory.pick({ ...query, tried })!
+  return { directory, unreachable, pick, one: pick(['two']), two: pick(['one']) }
+}
+
+describe('an upstream that cannot be reached', () => {
+  it('is sent nothing until it answers again', async () => {
+    const clock = new ManualClock()
+    const { directory, unreachable, pick, one, two } = createDirectory(clock)
+    directory.noteOutcome(one, 'unreachable')
+    expect(unreachable).to.deep.equal(['one'])
+    await clock.advance(20_000)
+    expect(pick([])).to.equal(two)
+    directory.noteReturned(one)
+    const picked = new Set(Array.from({ length: 40 }, () => pick([]).listed.id))
+    expect([...picked].sort()).to.deep.equal(['one', 'two'])
+  })
+
+  it('is not blamed by a box that hears no other upstream either', async () => {
+    const clock = new ManualClock()
+    const { directory, unreachable, one } = createDirectory(clock)
+    await clock.advance(5_000)
+    directory.noteOutcome(one, 'unreachable')
+    expect(unreachable).to.deep.equal([])
+  })
+})
+
+describe('the watch for upstreams that cannot be reached', () => {
+  function createWatch(clock: ManualClock, answers: boolean[]) {
+    const probes: number[] = []
+    const seen: string[] = []
+    const watch = new ReachabilityWatch({
+      clock,
+      probe() {
+        probes.push(clock.now())
+        return Promise.resolve(answers.shift() ?? true)
+      },
+      isListed: () => true,
+      onUnreachable: () => void seen.push('unreachable'),
+      onReachable: () => void seen.push('reachable'),
+    })
+    const upstream = { listed: listed('one'), health: createExchangeHealth(0) } as Upstream
+    const look = async (until: number) => {
+      while (clock.now() < until) {
+        await clock.advance(100)
+        watch.look(new Map([[upstream, 0]]))
+      }
+    }
+    return { watch, upstream, look, probes, seen }
+  }
+
+  it('probes a silent one less and less often while it answers', async () => {
+    const { look, probes, seen } = createWatch(new ManualClock(), [])
+    await look(3_500)
+    expect(probes).to.deep.equal([400, 800, 1_600, 3_200])
+    expect(seen).to.deep.equal([])
+  })
+
+  it('tells of one that does not answer', async () => {
+    const { look, seen } = createWatch(new ManualClock(), [false])
+    await look(600)
+    expect(seen).to.deep.equal(['unreachable'])
+  })
+
+  it('says nothing of one that spoke meanwhile', async () => {
+    const clock = new ManualClock()
+    const { look, upstream, probes, seen } = createWatch(clock, [false])
+    await look(300)
+    upstream.health.lastHeardAt = clock.now()
+    await look(600)
+    expect(probes).to.deep.equal([])
+    await look(800)
+    expect(seen).to.deep.equal(['unreachable'])
+  })
+
+  it('finds out when it is back, without a request', async () => {
+    const clock = new ManualClock()
+    const { watch, upstream, probes, seen } = createWatch(clock, [false, false, true])
+    watch.awaitReturn(upstream)
+    await clock.advance(3_000)
+    expect(probes).to.deep.equal([500, 1_000, 1_500])
+    expect(seen).to.deep.equal(['reachable'])
+  })
+})
+
+describe('a connection that does not open', () => {
+  it('fails in time', async () => {
+    const clock = new ManualClock()
+    const socket = new Socket()
+    let failure: Error | undefined
+    socket.on('error', error => (failure = error))
+    limitOpening(socket, clock)
+    await clock.advance(150)
+    expect(failure).to.equal(undefined)
+    await clock.advance(60)
+    expect(failure).to.be.instanceOf(UnreachableError)
+  })
+
+  it('is told apart from one that opens and from one that is refused', async () => {
+    const clock = new ManualClock()
+    const server = createServer()
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    expect(await probeConnection(address, clock)).to.equal(true)
+    await new Promise(resolve => server.close(resolve))
+    expect(await probeConnection(address, clock)).to.equal(true)
+  })
+})
--- a/packages/gateway/test/upstreamChannels.test.ts
+++ b/packages/gateway/test/upstreamChannels.test.ts
@@ -1,4 +1,5 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
+import { ManualClock } from '@yewkeel/decisions'
 import { expect } from 'chai'
 import { UpstreamChannels, type ExchangeListener, type ExchangeRequest } from '../src/index.js'
 
@@ -22,7 +23,7 @@
 }
 
 function sendOne(address: string, onChunk: () => void): Promise<Ending> {
-  const channels = new UpstreamChannels(address)
+  const channels = new UpstreamChannels(address, new ManualClock())
   return new Promise(resolve => {
     const listener: ExchangeListener = {
       onHead() {},
@@ -61,7 +62,7 @@
     await new Promise(resolve => server.close(resolve))
     const wasSent = await new Promise(resolve => {
       const listener = { onHead() {}, onChunk() {}, onEnd() {} }
-      new UpstreamChannels(address).send(REQUEST, {
+      new UpstreamChannels(address, new ManualClock()).send(REQUEST, {
         ...listener,
         onFailure: (_error, sent) => resolve(sent),
       })
@@ -76,7 +77,7 @@
       socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'))
       socket.resume()
     })
-    const channels = new UpstreamChannels(address)
+    const channels = new UpstreamChannels(address, new ManualClock())
     const send = (onFreshChannel: boolean) =>
       new Promise<void>(resolve => {
         const listener = { onHead() {}, onChunk() {}, onFailure: () => resolve() }
