--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -249,6 +249,31 @@
     expect((await ask(running, { 'time-left': '20000' })).text).to.equal(events(1, 4))
   })
 
+  it('moves the streams of an upstream that cannot be reached at once, and does not blame its version', async () => {
+    const upstreams = [await startUpstream('u1', silent), await startUpstream('u2', streams(1, 2))]
+    upstreams[0]!.listed.version = 'v2'
+    const running = await start(upstreams, { routes: [STREAM] })
+    const { services } = running.gateway
+    const pick = (id: string) =>
+      services.upstreams.pick({
+        service: 'desk',
+        admits: () => true,
+        tried: upstreams.map(upstream => upstream.id).filter(other => other !== id),
+        channelLimit: 9,
+      })!
+    const lost = pick('u1')
+    pick('u2').health.lastHeardAt = Infinity
+    services.upstreams.noteOutcome(pick('u2'), 'unreachable')
+    const answer = ask(running)
+    await running.until(() => upstreams[0]!.requests.length > 0)
+    services.upstreams.noteReturned(pick('u2'))
+    const askedAt = running.clock.now()
+    services.upstreams.noteOutcome(lost, 'unreachable')
+    expect((await answer).text).to.equal(events(1, 2))
+    expect(running.clock.now() - askedAt).to.be.below(300)
+    expect(services.rollouts.answers.filter(({ bad }) => bad > 0)).to.deep.equal([])
+  })
+
   it('refuses a stream that a leaving box could not end', async () => {
     const running = await start([await startUpstream('u1', streams(1, 2))], { routes: [STREAM] })
     running.gateway.beginToLeave()
