Engines are no longer dealt to a light and a heavy lane

Cause: with eight engines the light lane was one or two, so that short prompts waited there for 2 s while heavy engines were free, and a larger model asked for a short prompt had nowhere to go. Ruled out: the first shares alone; the shares follow the work and still leave one engine where heavy work is nine tenths. Change: every engine takes every prompt; the time that it still reads for decides, as before within a lane.

--- a/packages/gateway/src/tasks/engineWork.ts
+++ b/packages/gateway/src/tasks/engineWork.ts
@@ -1,11 +1,7 @@
 import {
-  createLaneShares,
   createWorkEstimates,
-  dealLane,
   expectModels,
-  laneOf,
   noteFirstEvent,
-  noteWork,
   workOf,
   type Clock,
   type Milliseconds,
@@ -52,7 +48,6 @@
 /** The prompts that engines have still to read: this box's own and, by what they tell, those of others. */
 export class EngineWork {
   readonly #estimates = createWorkEstimates()
-  readonly #shares = createLaneShares()
   readonly #own = new Map<string, Milliseconds>()
   readonly #told = new Map<string, Milliseconds>()
   readonly #peers = new Map<string, Map<string, PeerWork>>()
@@ -79,11 +74,6 @@
     }
   }
 
-  /** The engines among which a prompt is read. */
-  deal<T>(members: readonly T[], idOf: (member: T) => string, work: PromptWork): readonly T[] {
-    return dealLane(members, idOf, laneOf(work.whole), this.#shares)
-  }
-
   /** Time that an engine still reads prompts for, at its own pace. */
   waiting(upstream: string): Milliseconds {
     return this.#unread(upstream) * this.slowness(upstream)
@@ -98,7 +88,6 @@
   begin(upstream: string, work: PromptWork, tokens: number): ReadingPrompt {
     const expected = this.#unread(upstream) + work.whole
     const startedAt = this.options.clock.now()
-    noteWork(this.#shares, work.whole)
     this.#add(upstream, work.whole)
     let isOver = false
     const end = () => {
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -131,9 +131,8 @@
     }
     const { prompt } = query
     if (!prompt) return pickUpstream(candidates, { random, dataCentre })
-    const lane = work.deal(candidates, ({ listed }) => listed.id, prompt)
     const knowsFarWork = this.options.knowsFarWork()
-    return pickUpstream(lane, { random, dataCentre, prompt, knowsFarWork })
+    return pickUpstream(candidates, { random, dataCentre, prompt, knowsFarWork })
   }
 
   /** How long it would take until an answer to a prompt begins. Infinite when no upstream takes it. */
