Larger models copy shared parts from their home when another engine reads the prompt

Change: a prompt of a larger model that goes to another engine names its text's home, from which the engine copies what it lacks (Kv-Fetch). Copies are never taken from an engine of another version, nor from one that is ejected.

--- a/packages/decisions/src/listing/pickUpstream.ts
+++ b/packages/decisions/src/listing/pickUpstream.ts
@@ -1,6 +1,6 @@
-import { rankByRendezvous } from '../utils/rendezvousHash.js'
 import type { Milliseconds } from '../types/clock.js'
 import type { Random } from '../types/random.js'
+import { HOME_SHARES, textHomes } from './textHomes.js'
 import type { ListedUpstream } from './upstreamList.js'
 
 /** An upstream that may be sent a request, and what is known of its load. */
@@ -25,6 +25,8 @@
   shared: Milliseconds
   /** Tokens of the parts that other requests share. */
   sharedTokens: number
+  /** The route has a smaller one. */
+  isLargerModel?: boolean
   /** Names the shared parts for the model; undefined when there are none. */
   homeKey?: string
 }
@@ -56,11 +58,6 @@
  * a long prompt's worth, which a tenth of a second of waiting costs at the most.
  */
 const KEPT_WORTH: Milliseconds = 20
-/**
- * Part of what a home is worth, for the first and the second one: the second takes what the first has no time for, so that
- * a text that many ask for is kept in two places. A fifth is more than chance and leaves the first its own.
- */
-const HOME_SHARES = [1, 0.2]
 /** Costs this close are equal: chance decides, so that boxes do not all choose the same. */
 const TIE: Milliseconds = 4
 
@@ -81,10 +78,8 @@
   prompt: PromptWork,
   { dataCentre, random, knowsFarWork = true }: PickOptions,
 ): T {
-  const { whole, shared, sharedTokens, homeKey } = prompt
-  const idOf = (candidate: T) => candidate.listed.id
-  const homes =
-    homeKey === undefined ? [] : rankByRendezvous(homeKey, candidates, idOf, HOME_SHARES.length)
+  const { whole, shared, sharedTokens } = prompt
+  const homes = textHomes(prompt, candidates)
   const keptWorth = (KEPT_WORTH * sharedTokens) / 1_000
   const farCost = knowsFarWork ? FAR_COST : UNKNOWN_COST
   let best = candidates[0]!
--- a/packages/decisions/test/listing.test.ts
+++ b/packages/decisions/test/listing.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import {
+  copySource,
   createExchangeHealth,
   createSeededRandom,
   createUpstreamListState,
@@ -148,6 +149,29 @@
     }
   })
 
+  it('has a larger model copy shared parts from their home when another engine reads the prompt', () => {
+    const engines = ['a', 'bb', 'ccc', 'dddd'].map(id => candidate(id))
+    const home = pickUpstream(engines, { ...options, prompt })!
+    const other = engines.find(engine => engine !== home)!
+    const large = { ...prompt, isLargerModel: true }
+    expect(copySource(large, other, engines)).to.equal(home)
+    expect(copySource(large, home, engines)).to.equal(undefined)
+    expect(copySource(prompt, other, engines)).to.equal(undefined)
+    expect(copySource({ ...large, sharedTokens: 200 }, other, engines)).to.equal(undefined)
+  })
+
+  it('copies nothing from an engine of another version, or from one that is ejected', () => {
+    const engines = ['a', 'bb', 'ccc'].map(id => candidate(id))
+    const large = { ...prompt, isLargerModel: true }
+    const home = pickUpstream(engines, { ...options, prompt: large })!
+    const [other, third] = engines.filter(engine => engine !== home)
+    home.listed.version = 'v2'
+    expect([undefined, third]).to.include(copySource(large, other!, engines))
+    home.listed.version = 'v1'
+    home.isEjected = true
+    expect([undefined, third]).to.include(copySource(large, other!, engines))
+  })
+
   it('takes an ejected upstream only when there is no other', () => {
     const ejected = { ...candidate('a'), isEjected: true }
     expect(
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -122,9 +122,14 @@
     this.#reading = run.services.work.begin(upstream.listed.id, this.prompt, promptTokens)
     run.onOver(() => this.#settle({ type: 'over' }))
     const lastEventId = relay.lastId ?? run.admitted.fields.lastEventId
+    const source = run.services.upstreams.copySource(this.prompt, upstream)
     const exchange = run.send(
       upstream,
-      { ...(model !== undefined && { model }), ...(lastEventId !== undefined && { lastEventId }) },
+      {
+        ...(model !== undefined && { model }),
+        ...(lastEventId !== undefined && { lastEventId }),
+        ...(source && { copyFrom: source.listed.address }),
+      },
       {
         onHead: head => this.#takeHead(head),
         onChunk: chunk => this.#takeChunk(chunk),
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -147,7 +147,7 @@
   /** Sends the request to an upstream. */
   send(
     upstream: Upstream,
-    fields: { model?: string; lastEventId?: string },
+    fields: Pick<OutgoingFields, 'copyFrom' | 'lastEventId' | 'model'>,
     handler: ExchangeHandler,
   ): RunningExchange {
     const { clock, dialect } = this.services
--- a/packages/gateway/src/tasks/engineWork.ts
+++ b/packages/gateway/src/tasks/engineWork.ts
@@ -67,6 +67,7 @@
     const ids = textParts.map(part => part.id).join(' ')
     return {
       model,
+      isLargerModel: models.indexOf(model) > 0,
       whole: workOf(this.#estimates, model, promptTokens),
       shared: workOf(this.#estimates, model, sharedTokens),
       sharedTokens,
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -1,4 +1,5 @@
 import {
+  copySource,
   createExchangeHealth,
   createUpstreamListState,
   hashText,
@@ -135,6 +136,19 @@
     return pickUpstream(candidates, { random, dataCentre, prompt, knowsFarWork })
   }
 
+  /** From where an upstream copies the shared parts of a prompt in place of reading them, if that pays. */
+  copySource(prompt: PromptWork, chosen: Upstream): Upstream | undefined {
+    const { service } = chosen.listed
+    const now = this.options.clock.now()
+    const members: Upstream[] = []
+    for (const upstream of this.#upstreams.values()) {
+      if (upstream.listed.service !== service || upstream.listed.state !== 'ready') continue
+      upstream.isEjected = isEjected(upstream.health, now)
+      members.push(upstream)
+    }
+    return copySource(prompt, chosen, members)
+  }
+
   /** How long it would take until an answer to a prompt begins. Infinite when no upstream takes it. */
   beginsWithin(query: PickQuery & { prompt: PromptWork }): Milliseconds {
     const upstream = this.pick(query)
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -84,6 +84,8 @@
   organisation?: string
   model?: string
   lastEventId?: string
+  /** `host:port` of an upstream from which this one copies what it keeps of the prompt, before it reads the rest. */
+  copyFrom?: string
   /** 0 to 9; 0 is the most urgent. */
   urgency?: number
 }
