Upstreams that refuse connections, or whose address another process has, are left alone

Cause: upstreams that crashed stay listed for some 4 s. Ruled out: ejecting after fewer losses, which strikes engines that only reset surplus connections. Change: a refused connection counts as one that does not open (ejected, probed until it takes connections again); a 421 where we chose the model says that the process is gone: not asked again, and no try for the request.

--- a/packages/decisions/src/listing/exchangeHealth.ts
+++ b/packages/decisions/src/listing/exchangeHealth.ts
@@ -2,10 +2,10 @@
 
 /**
  * How one exchange with an upstream went. `shed`: it said that it did not run the request. `failed`: it ran it
- * and answered with an error or with wrong bytes. `lost`: no answer, a reset, or a connection that was refused.
- * `unreachable`: the opening of a connection was not answered, though other upstreams were heard meanwhile.
+ * and answered with an error or with wrong bytes. `lost`: no answer, or a reset. `unreachable`: no connection opened,
+ * though other upstreams were heard meanwhile. `gone`: another process answers at its address.
  */
-export type ExchangeOutcome = 'good' | 'shed' | 'failed' | 'lost' | 'unreachable'
+export type ExchangeOutcome = 'good' | 'shed' | 'failed' | 'lost' | 'unreachable' | 'gone'
 
 /** What this box has seen of one upstream. */
 export interface ExchangeHealth {
@@ -17,7 +17,7 @@
   ejections: number
   ejectedUntil: Milliseconds
   lastHeardAt: Milliseconds
-  /** Ejected until it answers again, however long that takes. */
+  /** Ejected until it answers again, however long that takes; for good when it is gone. */
   isUnreachable: boolean
 }
 
@@ -52,6 +52,7 @@
   failed: 1,
   lost: 1,
   unreachable: 1,
+  gone: 1,
 }
 
 /**
@@ -66,7 +67,7 @@
 ): boolean {
   health.badShare += SHARE_WEIGHT * (IS_BAD[outcome] - health.badShare)
   health.samples++
-  if (outcome === 'unreachable') {
+  if (outcome === 'unreachable' || outcome === 'gone') {
     const isNews = !health.isUnreachable
     health.isUnreachable = true
     return isNews
--- a/packages/gateway/src/node/connectInTime.ts
+++ b/packages/gateway/src/node/connectInTime.ts
@@ -19,6 +19,11 @@
   }
 }
 
+/** Nobody takes connections there: the process has ended, or its machine has. An upstream that is full resets them. */
+export function isUnreachable(error: Error): boolean {
+  return error instanceof UnreachableError || ('code' in error && error.code === 'ECONNREFUSED')
+}
+
 /** Ends a socket that does not open in time, with an `UnreachableError`. */
 export function limitOpening(socket: Socket, clock: Clock): void {
   let timer = clock.after(OPENS_WITHIN, () => {
@@ -39,7 +44,7 @@
   }
 }
 
-/** Whether an upstream still answers the opening of a connection. The connection is closed again. */
+/** Whether an upstream still takes connections. This one is closed again. */
 export function probeConnection(address: string, clock: Clock): Promise<boolean> {
   const { hostname, port } = new URL(`http://${address}`)
   return new Promise(resolve => {
@@ -49,7 +54,6 @@
       resolve(true)
       socket.destroy()
     })
-    // A refusal is an answer: the machine is there, and requests to it fail at once.
-    socket.once('error', error => resolve(!(error instanceof UnreachableError)))
+    socket.once('error', error => resolve(!isUnreachable(error)))
   })
 }
--- a/packages/gateway/src/requests/exchangeWithUpstream.ts
+++ b/packages/gateway/src/requests/exchangeWithUpstream.ts
@@ -1,5 +1,5 @@
 import type { ExchangeOutcome, Milliseconds } from '@yewkeel/decisions'
-import { UnreachableError } from '../node/connectInTime.js'
+import { isUnreachable } from '../node/connectInTime.js'
 import type { Exchange, ExchangeRequest } from '../node/upstreamChannels.js'
 import type { Upstream } from '../tasks/upstreamDirectory.js'
 import type { AnswerFields, Dialect, RawHeaders } from '../types/ports.js'
@@ -91,7 +91,7 @@
     },
     onFailure(error, wasSent) {
       if (!finish()) return
-      const unsent = error instanceof UnreachableError ? 'unreachable' : 'connect'
+      const unsent = isUnreachable(error) ? 'unreachable' : 'connect'
       handler.onFault(wasSent ? 'reset' : unsent, wasSent, error.message)
     },
   })
--- a/packages/gateway/src/requests/forwardCall.ts
+++ b/packages/gateway/src/requests/forwardCall.ts
@@ -1,6 +1,6 @@
 import type { Upstream } from '../tasks/upstreamDirectory.js'
 import type { AnswerHead, ExchangeFault } from './exchangeWithUpstream.js'
-import type { ForwardedRequest } from './forwardedRequest.js'
+import { MISDIRECTED, type ForwardedRequest } from './forwardedRequest.js'
 
 /** A try at a call came to no whole answer. */
 interface CallFault {
@@ -55,13 +55,17 @@
   { head, body }: { head: AnswerHead; body: Buffer },
 ): WholeAnswer {
   const kind = judge(head)
+  if (head.status === MISDIRECTED && kind === 'not-run') {
+    run.noteMisdirected(upstream)
+    return { kind, head, body }
+  }
   run.noteTry(upstream, OUTCOME_OF[kind], `${kind} ${head.status}`)
   if (kind === 'not-run') run.noteRefusal(head)
   return { kind, head, body }
 }
 
 /** Statuses by which a caller is told that its request has not run. */
-const PROMISES_NOT_RUN = new Set([408, 421, 429, 503])
+const PROMISES_NOT_RUN = new Set([408, MISDIRECTED, 429, 503])
 
 type AnswerKind = 'answer' | 'failure' | 'not-run' | 'spoiled'
 
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -18,6 +18,9 @@
   type RunningExchange,
 } from './exchangeWithUpstream.js'
 
+/** The status of whoever is not the process that the request names. */
+export const MISDIRECTED = 421
+
 /** One try at an upstream, for the log. */
 interface TryRecord {
   upstream: string
@@ -201,6 +204,15 @@
     this.#possibleRuns--
   }
 
+  /**
+   * Another process answered at the upstream's address, and did not run the request. Processes that crash stay listed for
+   * 4 s; asked again and again, they took requests all of their tries.
+   */
+  noteMisdirected(upstream: Upstream): void {
+    this.noteTry(upstream, 'gone', `status ${MISDIRECTED}`)
+    this.takeBackSend()
+  }
+
   /** Notes how a try ended, for the log and for the upstream's health. */
   noteTry(upstream: Upstream, outcome: ExchangeOutcome | undefined, detail: string): void {
     const record = this.records.at(-1)
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -274,6 +274,21 @@
     expect(services.rollouts.answers.filter(({ bad }) => bad > 0)).to.deep.equal([])
   })
 
+  it('asks an upstream no more once another process answers at its address, and counts no try for that', async () => {
+    const misdirected: Behaviour = (message, response) => {
+      response.writeHead(421, { 'not-run': '1', id: message.headers.id as string }).end()
+    }
+    const gone = await Promise.all(['u1', 'u2', 'u3'].map(id => startUpstream(id, misdirected)))
+    const upstreams = [...gone, await startUpstream('u4', streams(1, 2, 90))]
+    const route = { ...STREAM, models: ['small'], maxAttempts: 2 }
+    const running = await start(upstreams, { routes: [route] })
+    for (let count = 0; count < 6; count++) {
+      const answer = await ask(running, { id: `r${count}`, model: '*' })
+      expect(answer.text).to.equal(events(1, 2))
+    }
+    for (const { requests } of gone) expect(requests.length).to.be.at.most(1)
+  })
+
   it('refuses a stream that a leaving box could not end', async () => {
     const running = await start([await startUpstream('u1', streams(1, 2))], { routes: [STREAM] })
     running.gateway.beginToLeave()
