A broken answer counts against its version only while the upstream's process goes on

Ruled out: slow answers, none among the bad ones of the version that was rolled back. Change: after a reset the upstream is probed; if it takes no connections, what broke is not counted, and it is ejected at once. A version that resets connections while its process lives is still found.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -258,6 +258,7 @@
     retries: createRetryShare(settings.retries),
     gains: createConfidenceGains(),
     stalls: new StallWatch(clock, reachability),
+    reachability,
     boxCount: () => peers.live().length + 1,
     channelLimit(service) {
       const most = operators.index?.service(service)?.maxConnections ?? Infinity
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -28,11 +28,6 @@
 const FIRST_SILENT_UPSTREAM_SHARE = 0.4
 const FIRST_SILENT_STREAM_SHARE = 1.5
 const DEFAULT_PAUSE = 1_000
-/**
- * A machine that lost its power is no fault of the version that it ran: counted as one, a good version was rolled back when
- * three of its eight engines went dark at once.
- */
-const SAYS_NOTHING_OF_VERSION: ReadonlySet<ExchangeFault> = new Set(['unreachable'])
 
 /** Forwards a request whose answer is a stream of events. */
 export async function forwardStream(run: ForwardedRequest): Promise<void> {
@@ -256,7 +251,8 @@
     const model = this.#model
     run.noteTry(upstream, OUTCOME_OF_FAULT[fault], `${fault}: ${detail}`)
     if (!wasSent) run.takeBackSend()
-    else if (!SAYS_NOTHING_OF_VERSION.has(fault)) run.noteAnswer(upstream, model, false, undefined)
+    else if (fault === 'reset') run.noteBroken(upstream, model)
+    else if (fault !== 'unreachable') run.noteAnswer(upstream, model, false, undefined)
     this.#settle({ type: 'fault', fault, wasSent, detail })
   }
 
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -235,6 +235,16 @@
     this.services.rollouts.noteAnswer(key, isGood, begin)
   }
 
+  /**
+   * An answer broke off. It counts against its version only if the upstream's process goes on: when three or four of
+   * eight engines crashed or lost power at once, their broken answers made a good version look bad, and it was rolled back.
+   */
+  noteBroken(upstream: Upstream, model: string | undefined): void {
+    void this.services.reachability.check(upstream).then(isReachable => {
+      if (isReachable) this.noteAnswer(upstream, model, false, undefined)
+    })
+  }
+
   noteConfidence(confidence: number): void {
     const record = this.records.at(-1)
     if (record) record.confidence = confidence
--- a/packages/gateway/src/tasks/reachabilityWatch.ts
+++ b/packages/gateway/src/tasks/reachabilityWatch.ts
@@ -33,7 +33,7 @@
  */
 export class ReachabilityWatch {
   readonly #probing = new Map<Upstream, Probing>()
-  readonly #running = new Set<Upstream>()
+  readonly #running = new Map<Upstream, Promise<boolean>>()
 
   constructor(private readonly options: ReachabilityWatchOptions) {}
 
@@ -53,15 +53,26 @@
     this.#probing.set(upstream, probing)
     if (now - silentSince < probing.nextAfter || this.#running.has(upstream)) return
     probing.nextAfter *= 2
-    void this.#probe(upstream, silentSince)
+    void this.check(upstream)
   }
 
-  async #probe(upstream: Upstream, silentSince: Milliseconds): Promise<void> {
-    this.#running.add(upstream)
-    const isReachable = await this.options.probe(upstream)
+  /** Whether an upstream takes connections now. One that neither does nor spoke meanwhile is told of as unreachable. */
+  check(upstream: Upstream): Promise<boolean> {
+    const running = this.#running.get(upstream)
+    if (running) return running
+    const checking = this.#check(upstream)
+    this.#running.set(upstream, checking)
+    return checking
+  }
+
+  async #check(upstream: Upstream): Promise<boolean> {
+    const { clock, probe, onUnreachable } = this.options
+    const askedAt = clock.now()
+    const isReachable = await probe(upstream)
     this.#running.delete(upstream)
-    if (isReachable || upstream.health.lastHeardAt > silentSince) return
-    this.options.onUnreachable(upstream)
+    if (isReachable || upstream.health.lastHeardAt > askedAt) return true
+    onUnreachable(upstream)
+    return false
   }
 
   /** Probes an upstream until it can be reached again, or is listed no more. */
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -1,6 +1,7 @@
 import type { Clock, ConfidenceGains, Random, RetryShare } from '@yewkeel/decisions'
 import type { EngineWork } from '../tasks/engineWork.js'
 import type { OperatorTask } from '../tasks/operatorTask.js'
+import type { ReachabilityWatch } from '../tasks/reachabilityWatch.js'
 import type { RolloutTask } from '../tasks/rolloutTask.js'
 import type { UpstreamDirectory } from '../tasks/upstreamDirectory.js'
 import type { StallWatch } from '../requests/stallWatch.js'
@@ -23,6 +24,7 @@
   /** How much more confident larger models are, as learned from requests that several answered. */
   gains: ConfidenceGains
   stalls: StallWatch
+  reachability: ReachabilityWatch
   /** Boxes that share the budgets. */
   boxCount(): number
   /** Connections that one upstream of a service takes from this box. */
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -289,6 +289,28 @@
     for (const { requests } of gone) expect(requests.length).to.be.at.most(1)
   })
 
+  it('counts a broken answer against its version only while the process of the upstream goes on', async () => {
+    const breaks: Behaviour = (_message, response) => void response.socket?.destroy()
+    const lives = await startUpstream('u1', breaks)
+    let end = () => {}
+    const crashes = await startUpstream('u2', () => end())
+    end = () => crashes.close()
+    lives.listed.version = 'lives'
+    crashes.listed.version = 'crashes'
+    const running = await start([lives, crashes, await startUpstream('u3', streams(1, 2))], {
+      routes: [STREAM],
+    })
+    const { rollouts } = running.gateway.services
+    rollouts.takeOrders([{ service: 'desk', target: 'v9', duration: 60_000, revision: 1 }])
+    const badOf = (version: string) =>
+      rollouts.answers.filter(count => count.version === version && count.bad > 0).length
+    for (let count = 0; count < 12; count++)
+      expect((await ask(running, { id: `r${count}` })).text).to.equal(events(1, 2))
+    await running.until(() => badOf('lives') > 0)
+    expect(crashes.requests.length).to.be.at.least(1)
+    expect(badOf('crashes')).to.equal(0)
+  })
+
   it('refuses a stream that a leaving box could not end', async () => {
     const running = await start([await startUpstream('u1', streams(1, 2))], { routes: [STREAM] })
     running.gateway.beginToLeave()
