A new version is not slow because its engines keep no texts yet

Cause: what engines keep makes answers to long prompts begin early, so that the learned rate is a fifth of what reading takes; an engine of a new version, which keeps nothing, was then 3.5 times slower than explained, and long prompts beside a usual time learned from kept ones count as bad answers. Change: a second rate is learned from prompts of which others share at most two fifths; an answer is slow only beyond what reading all of the prompt at that rate explains. The choice of an engine goes by the first rate, as before.

--- a/packages/decisions/src/listing/workEstimates.ts
+++ b/packages/decisions/src/listing/workEstimates.ts
@@ -10,8 +10,10 @@
 }
 
 interface ModelRate {
-  /** Milliseconds for 1,000 tokens of a short prompt when nothing waits before it. */
+  /** Milliseconds for 1,000 tokens of a short prompt when nothing waits before it, with what engines mostly keep of it. */
   rate: Milliseconds
+  /** The same where engines keep nothing of the prompt. */
+  unkeptRate: Milliseconds
 }
 
 /** Before anything is learned, where the caller names the model: some 60 tokens in a millisecond, a middle size. */
@@ -28,6 +30,8 @@
 /** The rate follows the faster answers, which did not wait: a slower one moves it little, a faster one at once. */
 const DOWNWARD_WEIGHT = 0.25
 const UPWARD_WEIGHT = 0.03
+/** Prompts that others share more of than this say little of how long it takes to read a text that is not kept. */
+const MOST_SHARED = 0.4
 
 /**
  * A token of a prompt is compared with all before it, so that long prompts take longer a token: twice as long at this
@@ -48,7 +52,21 @@
 export function expectModels(estimates: WorkEstimates, models: readonly string[]): void {
   for (const [place, model] of models.entries())
     if (!estimates.models.has(model))
-      estimates.models.set(model, { rate: SMALLEST_RATE * RATE_STEP ** place })
+      estimates.models.set(model, knownRate(SMALLEST_RATE * RATE_STEP ** place))
+}
+
+function knownRate(rate: Milliseconds): ModelRate {
+  return { rate, unkeptRate: rate }
+}
+
+/** How long an engine that keeps nothing of the prompt reads so many tokens. */
+export function unkeptWorkOf(
+  estimates: WorkEstimates,
+  model: string,
+  tokens: number,
+): Milliseconds {
+  const rate = estimates.models.get(model)?.unkeptRate ?? FIRST_RATE
+  return (rate * readingSize(tokens)) / 1_000
 }
 
 /** How long the engine reads so many tokens. */
@@ -57,20 +75,31 @@
   return (rate * readingSize(tokens)) / 1_000
 }
 
-/** An answer to a prompt of so many unread tokens began after `took`. */
+/** A prompt, and how much of it other requests share. */
+export interface PromptSize {
+  tokens: number
+  sharedTokens: number
+}
+
+/** An answer to a prompt began after `took`. */
 export function noteFirstEvent(
   estimates: WorkEstimates,
   model: string,
-  tokens: number,
+  { tokens, sharedTokens }: PromptSize,
   took: Milliseconds,
 ): void {
   if (tokens < LEAST_TOKENS) return
   const sample = (took * 1_000) / readingSize(tokens)
   const known = estimates.models.get(model)
   if (!known) {
-    estimates.models.set(model, { rate: Math.min(sample, 4 * FIRST_RATE) })
+    estimates.models.set(model, knownRate(Math.min(sample, 4 * FIRST_RATE)))
     return
   }
-  const weight = sample < known.rate ? DOWNWARD_WEIGHT : UPWARD_WEIGHT
-  known.rate += weight * (Math.min(sample, 4 * known.rate) - known.rate)
+  known.rate = follow(known.rate, sample)
+  if (sharedTokens <= MOST_SHARED * tokens) known.unkeptRate = follow(known.unkeptRate, sample)
+}
+
+function follow(rate: Milliseconds, sample: Milliseconds): Milliseconds {
+  const weight = sample < rate ? DOWNWARD_WEIGHT : UPWARD_WEIGHT
+  return rate + weight * (Math.min(sample, 4 * rate) - rate)
 }
--- a/packages/gateway/src/tasks/engineWork.ts
+++ b/packages/gateway/src/tasks/engineWork.ts
@@ -2,6 +2,7 @@
   createWorkEstimates,
   expectModels,
   noteFirstEvent,
+  unkeptWorkOf,
   workOf,
   type Clock,
   type Milliseconds,
@@ -42,7 +43,10 @@
 
 /** A prompt that an engine has still to read. */
 export interface ReadingPrompt {
-  /** The answer began. Gives how many times longer that took than was expected. */
+  /**
+   * The answer began. Gives how many times longer that took than can be explained, by an engine that keeps nothing of the
+   * prompt: a new version's engines keep nothing yet, and that is no fault of the version.
+   */
   answered(): number
   /** The exchange ended, however. */
   end(): void
@@ -95,7 +99,9 @@
 
   /** A prompt was sent. */
   begin(upstream: string, work: PromptWork, tokens: number): ReadingPrompt {
-    const expected = this.#unread(upstream) + work.whole
+    const unread = this.#unread(upstream)
+    const expected = unread + work.whole
+    const explained = unread + unkeptWorkOf(this.#estimates, work.model, tokens)
     const startedAt = this.options.clock.now()
     this.#add(upstream, work.whole)
     let isOver = false
@@ -108,11 +114,11 @@
       end,
       answered: () => {
         const took = this.options.clock.now() - startedAt
-        const slowness = (took + SLOWNESS_SLACK) / (expected + SLOWNESS_SLACK)
-        noteFirstEvent(this.#estimates, work.model, tokens, took)
-        this.#learnSlowness(upstream, slowness)
+        const { sharedTokens } = work
+        noteFirstEvent(this.#estimates, work.model, { tokens, sharedTokens }, took)
+        this.#learnSlowness(upstream, timesLonger(took, expected))
         end()
-        return slowness
+        return timesLonger(took, Math.max(expected, explained))
       },
     }
   }
@@ -176,3 +182,7 @@
     if (entries.length > 0) this.options.tell(entries)
   }
 }
+
+function timesLonger(took: Milliseconds, expected: Milliseconds): number {
+  return (took + SLOWNESS_SLACK) / (expected + SLOWNESS_SLACK)
+}
