Hearsay goes out in every other round of gossip

Ruled out on the way: a faster look-up of what is heard (by 30-bit numbers in place of names; processor time in a profile unchanged, reverted). Change: what was heard of others is told every 0.8 s, twice within the time after which a box counts as silent; its own state, proofs, work and orders as often as before. A test that no box of 60 is taken for silent.

--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -12,6 +12,7 @@
 import type {
   GatewayMessage,
   Gossip,
+  Hearsay,
   ListProofAge,
   OwnReport,
   ProofAge,
@@ -57,6 +58,14 @@
  */
 const ASK_AGAIN_AFTER: Milliseconds = 600
 
+/**
+ * What was heard of others is told this often, twice in the time after which a box counts as silent. It is three quarters of
+ * a message among 91 boxes, and at every round of gossip it was 0.05 GB of the 0.14 GB between data centres in a minute.
+ */
+const HEARSAY_EVERY: Milliseconds = 800
+/** Rounds come a little early or late. */
+const ROUND_SLACK: Milliseconds = 50
+
 /** Links to every box of the data centre up to this many: a link costs some 50 KB and a message for each prompt sent. */
 const MOST_NEAR = 40
 
@@ -89,6 +98,7 @@
   readonly #voters = new Map<string, string>()
   readonly #asked = new Map<string, Milliseconds>()
   #sequence = 0
+  #toldHearsayAt = -Infinity
   #drawn: Circle | undefined
 
   readonly #handlers: MessageHandlers = {
@@ -180,11 +190,17 @@
       stamp: now,
       own: { ...own, sequence: ++this.#sequence },
       // Where every box is linked to every other, each speaks for itself alone.
-      others: this.isMesh ? [] : this.#known.hearsay(now),
+      others: this.isMesh ? [] : this.#hearsay(now),
       ...content,
     }
   }
 
+  #hearsay(now: Milliseconds): Hearsay[] {
+    if (now - this.#toldHearsayAt < HEARSAY_EVERY - ROUND_SLACK) return []
+    this.#toldHearsayAt = now
+    return this.#known.hearsay(now)
+  }
+
   #withEcho(message: Gossip, voter: string, now: Milliseconds): Gossip {
     const heard = this.#stamps.get(voter)
     return heard ? { ...message, echo: { stamp: heard.stamp, heldFor: now - heard.at } } : message
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -50,7 +50,7 @@
   /** The receiver's own newest stamp, and how long the sender has held it. */
   echo?: { stamp: Milliseconds; heldFor: Milliseconds }
   own: OwnReport
-  /** Empty where every box is linked to every other. */
+  /** Left empty in every other round, and where every box is linked to every other. */
   others: Hearsay[]
   operators?: ProofAge
   upstreams?: ListProofAge
--- a/packages/gateway/test/fleet.test.ts
+++ b/packages/gateway/test/fleet.test.ts
@@ -118,6 +118,15 @@
     expect(fleet.sent('work') - before).to.be.within(200, 2 * 250)
   })
 
+  it('takes no box for silent while all of them speak, though hearsay comes in every other round', async () => {
+    fleet = await startFleet(60)
+    for (let step = 0; step < 30; step++) {
+      await fleet.clock.advance(200)
+      for (const { gateway } of fleet.boxes)
+        expect(gateway.services.boxCount(), `after ${step} steps`).to.equal(60)
+    }
+  })
+
   it('hears of a new box without asking the store', async () => {
     fleet = await startFleet(30)
     const before = fleet.store.calls
