--- a/packages/gateway/src/tasks/engineWork.ts
+++ b/packages/gateway/src/tasks/engineWork.ts
@@ -24,8 +24,8 @@
 /** Changes are gathered for this long before they are told ... */
 const TELL_AFTER: Milliseconds = 15
 /**
- * ... and for longer where many listen, so that a box sends no more messages than this a second. Without it, telling 30
- * boxes of a data centre of each prompt took more processor time than forwarding them.
+ * ... and for longer where many listen, so that a box sends no more messages than this a second. With 30 listeners, which
+ * makes it 120 ms, 91 boxes took 285 s of processor time where they took 395 s with 15 ms (the same moment of one day).
  */
 const MOST_TOLD_PER_SECOND = 250
 const SECOND: Milliseconds = 1_000
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -60,7 +60,7 @@
 
 /**
  * What was heard of others is told this often, twice in the time after which a box counts as silent. It is three quarters of
- * a message among 91 boxes, and at every round of gossip it was 0.05 GB of the 0.14 GB between data centres in a minute.
+ * a message among 91 boxes; told at every round, gossip was by its size a third of what they send between data centres.
  */
 const HEARSAY_EVERY: Milliseconds = 800
 /** Rounds come a little early or late. */
--- a/packages/gateway/src/tasks/reachabilityWatch.ts
+++ b/packages/gateway/src/tasks/reachabilityWatch.ts
@@ -3,11 +3,12 @@
 
 export interface ReachabilityWatchOptions {
   clock: Clock
-  /** Whether an upstream still answers the opening of a connection. */
+  /** Whether an upstream takes connections. */
   probe(upstream: Upstream): Promise<boolean>
   isListed(upstream: Upstream): boolean
-  /** Nothing waits for an upstream that cannot be reached: whoever does is told. */
+  /** It takes no connections and has said nothing since it was asked. */
   onUnreachable(upstream: Upstream): void
+  /** It takes connections again. */
   onReachable(upstream: Upstream): void
 }
 
