What no upstream can take is refused at once

Cause: a request waited a fifth of its objective (0.8 s for long prompts) for an upstream with room also where none was left that could take it: all tried, leaving, or of another version. Waiting that is not served costs callers its length. Change: only a connection that may come free is waited for. Ruled out: an end of the wait altogether, since where all connections are in use one is free within some ten ms.

--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -40,7 +40,7 @@
 
 /** Time that is kept back for the way to the upstream and back. */
 const TIME_KEPT_BACK: Milliseconds = 8
-/** How long a request waits for an upstream with room, as a share of its latency objective. */
+/** How long a request waits for a connection of an upstream to come free, as a share of its latency objective. */
 const WAIT_SHARE = 0.2
 /** When a refused caller is told to come back, if no upstream said more. */
 const COME_BACK_AFTER: Milliseconds = 300
@@ -135,14 +135,14 @@
     }
   }
 
-  /** An upstream that takes the request now, or within a short wait. */
+  /** An upstream that takes the request now, or within a short wait. Nothing is waited for where none could take it. */
   async findUpstream(prompt?: PromptWork): Promise<Upstream | undefined> {
     const { clock, upstreams } = this.services
     const until = clock.now() + WAIT_SHARE * this.route.latencyObjective
     const query = this.#query(prompt)
     for (;;) {
       const found = upstreams.pick(query)
-      if (found || this.isOver || clock.now() >= until) return found
+      if (found || this.isOver || clock.now() >= until || !upstreams.couldTake(query)) return found
       await new Promise<void>(resolve => clock.after(LOOK_AGAIN, resolve))
     }
   }
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -139,6 +139,11 @@
     return pickUpstream(candidates, { random, dataCentre, prompt, knowsFarWork })
   }
 
+  /** Whether some upstream would take a request once one of its connections is free. */
+  couldTake(query: PickQuery): boolean {
+    return [...this.#upstreams.values()].some(upstream => isEligible(upstream, query))
+  }
+
   /** From where an upstream copies the shared parts of a prompt in place of reading them, if that pays. */
   copySource(prompt: PromptWork, chosen: Upstream): Upstream | undefined {
     const { service } = chosen.listed
@@ -270,13 +275,17 @@
 }
 
 function isCandidate(upstream: Upstream, query: PickQuery): boolean {
-  const { listed, channels } = upstream
+  const { channels } = upstream
+  return isEligible(upstream, query) && (channels.idle > 0 || channels.open < query.channelLimit)
+}
+
+/** It may be sent the request, whether or not a connection is free. */
+function isEligible({ listed }: Upstream, query: PickQuery): boolean {
   return (
     listed.service === query.service &&
     listed.state === 'ready' &&
     query.admits(listed.version) &&
-    !query.tried.includes(listed.id) &&
-    (channels.idle > 0 || channels.open < query.channelLimit)
+    !query.tried.includes(listed.id)
   )
 }
 
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -311,6 +311,17 @@
     expect(badOf('crashes')).to.equal(0)
   })
 
+  it('refuses at once a request that no upstream can take', async () => {
+    const leaving = await startUpstream('u1', streams(1, 2))
+    leaving.listed.state = 'draining'
+    const running = await start([leaving], { routes: [{ ...STREAM, latencyObjective: 4_000 }] })
+    const askedAt = running.clock.now()
+    const answer = await ask(running)
+    expect(answer.status).to.equal(503)
+    expect(answer.headers).to.have.property('retry-after')
+    expect(running.clock.now() - askedAt).to.be.below(200)
+  })
+
   it('refuses a stream that a leaving box could not end', async () => {
     const running = await start([await startUpstream('u1', streams(1, 2))], { routes: [STREAM] })
     running.gateway.beginToLeave()
