Retry budgets hold for each service, for the whole window, and before boxes know each other

Three ways by which boxes together could send more again than the budget allows, found by reading: a request for the booking application earned a retry of the models' pool; of ten parts of the window the oldest was forgotten up to 1 s early, so that the budget could be spent twice in 9 s; and boxes that start at the same moment, having heard of nobody, each took the whole fixed part of it.

Ruled out: nothing yet.

Change: a share for each service; retries count for eleven parts, requests for ten; boxes entered in the store share the budgets, and the connections of an upstream, before they are heard of.

Figures: tests that fail on the code before: 90 retries at 0.99 s and 90 more at 10 s with a budget of 100 a window; requests for another service; 30 boxes that return at once.

--- a/packages/decisions/src/admission/retryShare.ts
+++ b/packages/decisions/src/admission/retryShare.ts
@@ -19,23 +19,46 @@
   newest: number
 }
 
+/** The budget holds for each service by itself: requests for one earn another no retries. */
+export interface RetryShares {
+  limits: RetryShareLimits
+  byService: Map<string, RetryShare>
+}
+
 const SLOTS = 10
+/**
+ * Requests count for a little less than a window, retries for a little more: with one slot fewer, retries at the end of the
+ * oldest slot were forgotten 1 s early, and the budget could be spent twice in 9 s.
+ */
+const KEPT_SLOTS = SLOTS + 1
 /** Part of the budget that is used: the rest covers boxes that do not know of each other yet. */
 const USED_PART = 0.9
 
 export function createRetryShare(limits: RetryShareLimits): RetryShare {
-  const slots = Array.from({ length: SLOTS }, () => ({ requests: 0, retries: 0 }))
+  const slots = Array.from({ length: KEPT_SLOTS }, () => ({ requests: 0, retries: 0 }))
   return { limits, slots, newest: 0 }
 }
 
+export function createRetryShares(limits: RetryShareLimits): RetryShares {
+  return { limits, byService: new Map() }
+}
+
+/** This box's part of the budget of a service. */
+export function retryShareOf({ limits, byService }: RetryShares, service: string): RetryShare {
+  const share = byService.get(service) ?? createRetryShare(limits)
+  share.limits = limits
+  byService.set(service, share)
+  return share
+}
+
 function slotAt(share: RetryShare, now: Milliseconds): { requests: number; retries: number } {
   const number = Math.floor(now / (share.limits.window / SLOTS))
-  const steps = Math.min(SLOTS, number - share.newest)
+  const steps = Math.min(KEPT_SLOTS, number - share.newest)
   for (let step = 1; step <= steps; step++) {
-    share.slots[(number - steps + step) % SLOTS] = { requests: 0, retries: 0 }
+    share.slots[(number - steps + step) % KEPT_SLOTS] = { requests: 0, retries: 0 }
   }
   share.newest = Math.max(share.newest, number)
-  return share.slots[share.newest % SLOTS]!
+  return share.slots[share.newest % KEPT_SLOTS]!
 }
 
 export function noteRequest(share: RetryShare, now: Milliseconds): void {
@@ -45,7 +68,8 @@
 /** Whether a request may be sent once more. `boxes`: how many share the slack. */
 export function hasRetry(share: RetryShare, boxes: number, now: Milliseconds): boolean {
   slotAt(share, now)
-  const requests = share.slots.reduce((sum, slot) => sum + slot.requests, 0)
+  const oldest = share.slots[(share.newest + 1) % KEPT_SLOTS]!
+  const requests = share.slots.reduce((sum, slot) => sum + slot.requests, 0) - oldest.requests
   const retries = share.slots.reduce((sum, slot) => sum + slot.retries, 0)
   const { ratio, slack } = share.limits
   return retries + 1 <= USED_PART * (ratio * requests + slack / Math.max(1, boxes))
--- a/packages/decisions/test/routing.test.ts
+++ b/packages/decisions/test/routing.test.ts
@@ -4,6 +4,7 @@
   confirm,
   confirmationAge,
   createRetryShare,
+  createRetryShares,
   createRouteIndex,
   decideRollout,
   goesToTarget,
@@ -13,6 +14,7 @@
   nextModel,
   noteConfidences,
   noteRequest,
+  retryShareOf,
   ringNeighbours,
   takeRetry,
   targetShare,
@@ -129,6 +131,31 @@
   })
 })
 
+describe('the retry budget of a service', () => {
+  it('counts retries for the whole window, also those at the end of its oldest part', () => {
+    const share = createRetryShare({ ratio: 0, slack: 100, window: 10_000 })
+    while (takeRetry(share, 1, 990));
+    expect(takeRetry(share, 1, 10_000)).to.equal(false)
+    expect(takeRetry(share, 1, 11_000)).to.equal(true)
+  })
+
+  it('is not earned by requests for another service', () => {
+    const shares = createRetryShares({ ratio: 0.9, slack: 0, window: 10_000 })
+    for (let count = 0; count < 100; count++) noteRequest(retryShareOf(shares, 'desk'), 0)
+    for (let count = 0; count < 10; count++) noteRequest(retryShareOf(shares, 'pool'), 0)
+    let retries = 0
+    while (takeRetry(retryShareOf(shares, 'pool'), 1, 0)) retries++
+    expect(retries).to.be.within(8, 9)
+  })
+
+  it('follows limits that are changed while it runs', () => {
+    const shares = createRetryShares({ ratio: 0, slack: 0, window: 10_000 })
+    expect(takeRetry(retryShareOf(shares, 'pool'), 1, 0)).to.equal(false)
+    shares.limits = { ratio: 0, slack: 10, window: 10_000 }
+    expect(takeRetry(retryShareOf(shares, 'pool'), 1, 0)).to.equal(true)
+  })
+})
+
 describe('models in order of cost', () => {
   const models = ['small', 'middle', 'large']
   const step = (change: Partial<LadderStep> = {}): LadderStep => ({
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -1,7 +1,7 @@
 import { every, type PeerIdentity, type PeerTransport } from '@yewkeel/box'
 import {
   createConfidenceGains,
-  createRetryShare,
+  createRetryShares,
   type Clock,
   type Milliseconds,
   type Random,
@@ -268,14 +268,15 @@
     upstreams,
     rollouts,
     work,
-    retries: createRetryShare(settings.retries),
+    retries: createRetryShares(settings.retries),
     gains: createConfidenceGains(),
     stalls: new StallWatch(clock, reachability),
     reachability,
     boxCount: () => peers.live().length + 1,
+    sharingBoxes: () => Math.max(services.boxCount(), peers.entered),
     channelLimit(service) {
       const most = operators.index?.service(service)?.maxConnections ?? Infinity
-      return Math.max(LEAST_CHANNELS, Math.floor((CHANNEL_PART * most) / services.boxCount()))
+      return Math.max(LEAST_CHANNELS, Math.floor((CHANNEL_PART * most) / services.sharingBoxes()))
     },
   }
 
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -1,10 +1,12 @@
 import {
   hasRetry,
   noteRequest,
+  retryShareOf,
   takeRetry,
   type ExchangeOutcome,
   type Milliseconds,
   type PromptWork,
+  type RetryShare,
 } from '@yewkeel/decisions'
 import type { GatewayServices } from '../types/services.js'
 import type { CallerAnswer, OutgoingFields } from '../types/ports.js'
@@ -64,6 +66,7 @@
   #exchange: RunningExchange | undefined
   #retryAfter: Milliseconds | undefined
   readonly #timer: { cancel(): void }
+  readonly #retries: RetryShare
   #onOver: (() => void) | undefined
 
   constructor(
@@ -73,7 +76,8 @@
   ) {
     const { clock, rollouts, retries } = services
     this.admits = rollouts.admission(admitted.service, admitted.fields.session)
-    noteRequest(retries, clock.now())
+    this.#retries = retryShareOf(retries, admitted.service)
+    noteRequest(this.#retries, clock.now())
     this.#timer = clock.after(admitted.deadline - clock.now(), () => this.#runOutOfTime())
     answer.onGone(() => this.finish('caller-left', undefined))
   }
@@ -101,16 +105,18 @@
     const { services, route } = this
     if (this.isOver || this.sends >= route.maxAttempts) return false
     if (this.timeLeft < TIME_KEPT_BACK * 2) return false
-    return this.sends === 0 || hasRetry(services.retries, services.boxCount(), services.clock.now())
+    return (
+      this.sends === 0 || hasRetry(this.#retries, services.sharingBoxes(), services.clock.now())
+    )
   }
 
   /** Takes the right to send the request to one more upstream. */
   takeTry(): boolean {
     if (!this.hasTry()) return false
     if (this.sends === 0) return true
-    const { clock, retries, boxCount, metrics } = this.services
+    const { clock, sharingBoxes, metrics } = this.services
     metrics.count('retries', 'sent')
-    return takeRetry(retries, boxCount(), clock.now())
+    return takeRetry(this.#retries, sharingBoxes(), clock.now())
   }
 
   /**
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -146,6 +146,14 @@
     return this.#known.live(this.options.clock.now())
   }
 
+  /**
+   * How many boxes are entered in the store. When 91 start at once each has heard of no other yet, and would take the whole
+   * fixed part of a budget for its own.
+   */
+  get entered(): number {
+    return this.#known.entries.length
+  }
+
   /** Boxes among the entries that have been silent for long. */
   silentEntries(): string[] {
     return this.#known.silentEntries()
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -1,4 +1,4 @@
-import type { Clock, ConfidenceGains, Random, RetryShare } from '@yewkeel/decisions'
+import type { Clock, ConfidenceGains, Random, RetryShares } from '@yewkeel/decisions'
 import type { EngineWork } from '../tasks/engineWork.js'
 import type { OperatorTask } from '../tasks/operatorTask.js'
 import type { ReachabilityWatch } from '../tasks/reachabilityWatch.js'
@@ -20,13 +20,15 @@
   upstreams: UpstreamDirectory
   rollouts: RolloutTask
   work: EngineWork
-  retries: RetryShare
+  retries: RetryShares
   /** How much more confident larger models are, as learned from requests that several answered. */
   gains: ConfidenceGains
   stalls: StallWatch
   reachability: ReachabilityWatch
-  /** Boxes that share the budgets. */
+  /** Boxes that are heard of, and this one. */
   boxCount(): number
+  /** Boxes that share the budgets: those entered in the store count before they are heard of. */
+  sharingBoxes(): number
   /** Connections that one upstream of a service takes from this box. */
   channelLimit(service: string): number
 }
--- a/packages/gateway/test/fleet.test.ts
+++ b/packages/gateway/test/fleet.test.ts
@@ -161,6 +161,16 @@
     expect((fleet.store.calls - before - 8) / 40).to.be.at.most(3.5)
   })
 
+  it('shares its budgets with boxes that it has not heard of yet', async () => {
+    fleet = await startFleet(30)
+    const returned = await fleet.restart([...fleet.boxes])
+    await fleet.clock.advance(20)
+    for (const { identity, gateway } of returned) {
+      expect(gateway.services.boxCount(), identity.box).to.be.below(30)
+      expect(gateway.services.sharingBoxes(), identity.box).to.equal(30)
+    }
+  })
+
   it('finds each other again when all boxes return at the same moment', async () => {
     fleet = await startFleet(60)
     await fleet.restart([...fleet.boxes])
