A message about work is packed once, and boxes are counted without a copy of them

Cause, found on reading the change again: the relay made a message anew for each of the boxes that it tells, so that the transport packed it for each (it packs one message once); the budgets of each request copied all entries to count them. Change: one message for all; a count.

--- a/packages/gateway/src/tasks/knownBoxes.ts
+++ b/packages/gateway/src/tasks/knownBoxes.ts
@@ -53,6 +53,10 @@
     return [...this.#entries.values()]
   }
 
+  get entryCount(): number {
+    return this.#entries.size
+  }
+
   takeEntries(entries: readonly BoxEntry[]): void {
     this.#entries = new Map()
     this.#version++
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -151,7 +151,7 @@
    * fixed part of a budget for its own.
    */
   get entered(): number {
-    return this.#known.entries.length
+    return this.#known.entryCount
   }
 
   /** Boxes among the entries that have been silent for long. */
@@ -194,7 +194,9 @@
   tellWork(entries: WorkEntry[]): void {
     if (entries.length === 0) return
     const type = this.#role === 'relay' ? 'work-sums' : 'work'
-    this.#tell(this.#listeners, () => ({ type, entries }))
+    // One message for all: the transport packs it once.
+    const message: GatewayMessage = { type, entries }
+    this.#tell(this.#listeners, () => message)
   }
 
   /**
