A box enters itself again also where no other box has an entry

Cause, found on reading the change again: looking for others and entering oneself had been joined by a special case, so that a missing entry was written again only while others had one. If all entries were gone, no box wrote its own, and a new box found nobody. Change: a look writes the entry wherever it is missing, as before; a box that found no other on its start looks again. Calls at a start are the same: 1 for a box whose entry stands. A test that fails on the code before; fleet tests pass.

--- a/packages/gateway/src/tasks/entryTask.ts
+++ b/packages/gateway/src/tasks/entryTask.ts
@@ -64,15 +64,14 @@
 
   /**
    * The entry of a box that returns mostly still stands: 390 starts a day in a deployment of 195 boxes then take one call
-   * each in place of two. Where there is no other box yet, it writes before it reads: of two that enter at the same moment,
+   * each in place of two. A box that finds no other looks again once it has written: of two that enter at the same moment,
    * one at least sees the other.
    */
   async #enter(): Promise<void> {
-    const isAlone = this.options.isFirstStart || (await this.#look()) === 0
-    if (isAlone) {
-      await this.#write()
-      await this.#look()
-    }
+    const { isFirstStart } = this.options
+    if (isFirstStart) await this.#write()
+    const others = await this.#look()
+    if (others === 0 && !isFirstStart) await this.#look()
     this.#hasEntry = true
   }
 
@@ -84,7 +83,7 @@
     onEntries(entries)
     const others = entries.filter(({ box }) => box !== self.box)
     const isEntered = entries.some(({ box, peerAddress }) => isSelf(self, box, peerAddress))
-    if (!isEntered && others.length > 0) await this.#write()
+    if (!isEntered) await this.#write()
     await this.#clearAway(entries)
     return others.length
   }
--- a/packages/gateway/test/fleet.test.ts
+++ b/packages/gateway/test/fleet.test.ts
@@ -179,6 +179,13 @@
       expect(gateway.services.boxCount(), identity.box).to.equal(60)
   })
 
+  it('enters itself again when its entry is gone, also where no other box has one', async () => {
+    fleet = await startFleet(2)
+    fleet.store.entries.clear()
+    await fleet.clock.advance(75_000)
+    expect([...fleet.store.entries.keys()].sort()).to.deep.equal(['box-000', 'box-001'])
+  })
+
   it('hears of a new box without asking the store', async () => {
     fleet = await startFleet(30)
     const before = fleet.store.calls
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -37,6 +37,7 @@
     operators: OperatorState
     upstreams: ListedUpstream[]
     version: number
+    entries: Map<string, BoxEntry>
   }
   /** Messages of a type that boxes sent each other. */
   sent(type: GatewayMessage['type']): number
@@ -67,9 +68,9 @@
     operators: { revision: 1, configuration: CONFIGURATION, orders: [] },
     upstreams: [],
     version: 5,
+    entries: new Map(),
   }
   const network = new MemoryLinks(clock)
-  const entries = new Map<string, BoxEntry>()
   const pause = (span: Milliseconds) =>
     new Promise<void>(resolve => clock.after(span, () => resolve()))
 
@@ -94,9 +95,9 @@
       readUpstreams: () => read(() => store.upstreams),
       readRollouts: () => read(() => []),
       writeRollout: () => call(() => 'written' as const),
-      readBoxes: () => call(() => [...entries.values()]),
-      writeBox: entry => call(() => void entries.set(entry.box, entry)),
-      removeBoxes: names => call(() => names.forEach(name => entries.delete(name))),
+      readBoxes: () => call(() => [...store.entries.values()]),
+      writeBox: entry => call(() => void store.entries.set(entry.box, entry)),
+      removeBoxes: names => call(() => names.forEach(name => store.entries.delete(name))),
     }
   }
 
