Metrics tell requests sent to upstreams apart: first, repeat, turned away; and retries that the budget refused

Ruled out: more log lines, since lines of good requests are the first to be left out under load. Change: yewkeel_arrivals_total by kind, yewkeel_retries_total{kind=refused}; no logic. Conclusion: arrivals that no budget paid for can be seen as the difference of the two counters.

--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -6,8 +6,10 @@
 
 const HELP: Record<CounterName, string> = {
   requests: 'requests by outcome',
+  arrivals:
+    'requests sent to upstreams: the first of each, repeats, and those that another process turned away',
   exchanges: 'tries at upstreams by outcome',
-  retries: 'requests sent once more',
+  retries: 'requests sent once more, and those that the retry budget did not allow',
   ejections: 'upstreams taken out of use, by service',
   storeCalls: 'calls to the store by outcome',
 }
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -63,6 +63,7 @@
   readonly admits: (version: string) => boolean
   /** The newest opinion that a model gave of its answer to this request. */
   doubted: { model: string; confidence: number } | undefined
+  #wasSentOnce = false
   #exchange: RunningExchange | undefined
   #retryAfter: Milliseconds | undefined
   readonly #timer: { cancel(): void }
@@ -110,9 +111,18 @@
     )
   }
 
+  /** Nothing but the budget stands against one more try. */
+  get #isBudgetSpent(): boolean {
+    const isOpen = !this.isOver && this.timeLeft >= TIME_KEPT_BACK * 2
+    return isOpen && this.sends > 0 && this.sends < this.route.maxAttempts
+  }
+
   /** Takes the right to send the request to one more upstream. */
   takeTry(): boolean {
-    if (!this.hasTry()) return false
+    if (!this.hasTry()) {
+      if (this.#isBudgetSpent) this.services.metrics.count('retries', 'refused')
+      return false
+    }
     if (this.sends === 0) return true
     const { clock, sharingBoxes, metrics } = this.services
     metrics.count('retries', 'sent')
@@ -170,6 +180,8 @@
       urgency: urgencyOf(organisation?.priority ?? 0, route.priority),
     }
     this.tried.push(upstream.listed.id)
+    this.services.metrics.count('arrivals', this.#wasSentOnce ? 'repeat' : 'first')
+    this.#wasSentOnce = true
     this.sends++
     this.#possibleRuns++
     const { id, version } = upstream.listed
@@ -216,6 +228,7 @@
    * 4 s; asked again and again, they took requests all of their tries.
    */
   noteMisdirected(upstream: Upstream): void {
+    this.services.metrics.count('arrivals', 'turned-away')
     this.noteTry(upstream, 'gone', `status ${MISDIRECTED}`)
     this.takeBackSend()
   }
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -162,4 +162,5 @@
   observe(route: string, outcome: string, duration: Milliseconds): void
 }
 
-export type CounterName = 'requests' | 'exchanges' | 'retries' | 'ejections' | 'storeCalls'
+export type CounterName =
+  'requests' | 'arrivals' | 'exchanges' | 'retries' | 'ejections' | 'storeCalls'
