The retry budget pays for each send that can have arrived, also where it was turned away

Cause: what a route's limit counts and what the budget counts was one number. Class: one counter for two promises. Ruled out: counting such sends against the route's limit as well: the upstream did not take the request, and with two tries a route the two names of one restarted engine would use up both. Change: TryAccount keeps the two apart, for calls and streams alike; only a send of which no byte left the box is taken back from the budget, and what was paid for it stays for the next. What is left is why so many sends are turned away at all.

--- a/packages/gateway/src/requests/forwardCall.ts
+++ b/packages/gateway/src/requests/forwardCall.ts
@@ -46,7 +46,7 @@
 function noteFault(run: ForwardedRequest, upstream: Upstream, outcome: CallFault): undefined {
   const seen = outcome.fault === 'unreachable' ? 'unreachable' : 'lost'
   run.noteTry(upstream, seen, `${outcome.fault}: ${outcome.detail}`)
-  if (!outcome.wasSent) run.takeBackSend()
+  if (!outcome.wasSent) run.noteUnsent()
 }
 
 function noteAnswer(
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -250,7 +250,7 @@
     const { run, upstream } = this
     const model = this.#model
     run.noteTry(upstream, OUTCOME_OF_FAULT[fault], `${fault}: ${detail}`)
-    if (!wasSent) run.takeBackSend()
+    if (!wasSent) run.noteUnsent()
     else if (fault === 'reset') run.noteBroken(upstream, model)
     else if (fault !== 'unreachable') run.noteAnswer(upstream, model, false, undefined)
     this.#settle({ type: 'fault', fault, wasSent, detail })
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -1,12 +1,8 @@
 import {
-  hasRetry,
-  noteRequest,
   retryShareOf,
-  takeRetry,
   type ExchangeOutcome,
   type Milliseconds,
   type PromptWork,
-  type RetryShare,
 } from '@yewkeel/decisions'
 import type { GatewayServices } from '../types/services.js'
 import type { CallerAnswer, OutgoingFields } from '../types/ports.js'
@@ -19,6 +15,7 @@
   type ExchangeHandler,
   type RunningExchange,
 } from './exchangeWithUpstream.js'
+import { TryAccount } from './tryAccount.js'
 
 /** The status of whoever is not the process that the request names. */
 export const MISDIRECTED = 421
@@ -53,21 +50,16 @@
 export class ForwardedRequest {
   /** Upstreams that are not tried again. */
   readonly tried: string[] = []
-  /** How many upstreams the request was sent to. */
-  sends = 0
-  /** Tries that may have run: sent, and not said to be not run by the upstream in its own words. */
-  #possibleRuns = 0
+  readonly #tries: TryAccount
   isOver = false
   readonly records: TryRecord[] = []
   /** Versions that the request may run on: drawn once, so that all of its tries agree. */
   readonly admits: (version: string) => boolean
   /** The newest opinion that a model gave of its answer to this request. */
   doubted: { model: string; confidence: number } | undefined
-  #wasSentOnce = false
   #exchange: RunningExchange | undefined
   #retryAfter: Milliseconds | undefined
   readonly #timer: { cancel(): void }
-  readonly #retries: RetryShare
   #onOver: (() => void) | undefined
 
   constructor(
@@ -75,10 +67,15 @@
     readonly admitted: AdmittedRequest,
     readonly answer: CallerAnswer,
   ) {
-    const { clock, rollouts, retries } = services
+    const { clock, rollouts, retries, metrics } = services
     this.admits = rollouts.admission(admitted.service, admitted.fields.session)
-    this.#retries = retryShareOf(retries, admitted.service)
-    noteRequest(this.#retries, clock.now())
+    this.#tries = new TryAccount({
+      clock,
+      metrics,
+      share: retryShareOf(retries, admitted.service),
+      sharingBoxes: () => services.sharingBoxes(),
+      maxAttempts: admitted.route.maxAttempts,
+    })
     this.#timer = clock.after(admitted.deadline - clock.now(), () => this.#runOutOfTime())
     answer.onGone(() => this.finish('caller-left', undefined))
   }
@@ -93,7 +90,7 @@
 
   /** Some upstream may have run it, so no answer may say that it did not run. */
   get mayHaveRun(): boolean {
-    return this.#possibleRuns > 0
+    return this.#tries.mayHaveRun
   }
 
   /** Called once when the request is over, whoever ended it. */
@@ -101,32 +98,18 @@
     this.#onOver = callback
   }
 
-  /** Whether one more upstream could be sent the request now. The first is free. */
+  /** Whether one more upstream could be sent the request now. */
   hasTry(): boolean {
-    const { services, route } = this
-    if (this.isOver || this.sends >= route.maxAttempts) return false
-    if (this.timeLeft < TIME_KEPT_BACK * 2) return false
-    return (
-      this.sends === 0 || hasRetry(this.#retries, services.sharingBoxes(), services.clock.now())
-    )
-  }
-
-  /** Nothing but the budget stands against one more try. */
-  get #isBudgetSpent(): boolean {
-    const isOpen = !this.isOver && this.timeLeft >= TIME_KEPT_BACK * 2
-    return isOpen && this.sends > 0 && this.sends < this.route.maxAttempts
+    return this.#isOpen && this.#tries.hasTry
   }
 
   /** Takes the right to send the request to one more upstream. */
   takeTry(): boolean {
-    if (!this.hasTry()) {
-      if (this.#isBudgetSpent) this.services.metrics.count('retries', 'refused')
-      return false
-    }
-    if (this.sends === 0) return true
-    const { clock, sharingBoxes, metrics } = this.services
-    metrics.count('retries', 'sent')
-    return takeRetry(this.#retries, sharingBoxes(), clock.now())
+    return this.#isOpen && this.#tries.takeTry()
+  }
+
+  get #isOpen(): boolean {
+    return !this.isOver && this.timeLeft >= TIME_KEPT_BACK * 2
   }
 
   /**
@@ -180,10 +163,7 @@
       urgency: urgencyOf(organisation?.priority ?? 0, route.priority),
     }
     this.tried.push(upstream.listed.id)
-    this.services.metrics.count('arrivals', this.#wasSentOnce ? 'repeat' : 'first')
-    this.#wasSentOnce = true
-    this.sends++
-    this.#possibleRuns++
+    this.#tries.noteSent()
     const { id, version } = upstream.listed
     const at = clock.now()
     this.records.push({
@@ -217,10 +197,9 @@
     this.tried.pop()
   }
 
-  /** The last try never reached its upstream, so it does not count. */
-  takeBackSend(): void {
-    this.sends--
-    this.#possibleRuns--
+  /** The last try never left this box. */
+  noteUnsent(): void {
+    this.#tries.noteUnsent()
   }
 
   /**
@@ -228,9 +207,8 @@
    * 4 s; asked again and again, they took requests all of their tries.
    */
   noteMisdirected(upstream: Upstream): void {
-    this.services.metrics.count('arrivals', 'turned-away')
     this.noteTry(upstream, 'gone', `status ${MISDIRECTED}`)
-    this.takeBackSend()
+    this.#tries.noteTurnedAway()
   }
 
   /** Notes how a try ended, for the log and for the upstream's health. */
@@ -284,7 +262,7 @@
 
   /** The upstream says that it did not run the request. */
   noteRefusal(head: AnswerHead): void {
-    this.#possibleRuns--
+    this.#tries.noteNotRun()
     const { retryAfter } = head.fields
     if (retryAfter !== undefined) this.#retryAfter = retryAfter * 1_000
   }
@@ -337,7 +315,7 @@
   }
 
   #log(outcome: string, status: number | undefined): void {
-    const { services, admitted, records, sends } = this
+    const { services, admitted, records } = this
     const { request, fields, route, organisation } = admitted
     const duration = services.clock.now() - request.receivedAt
     const isFailure = outcome !== 'delivered'
@@ -355,7 +333,7 @@
         configuration: services.operators.index?.configuration.revision,
         configurationAge: Math.round(services.operators.age),
         tries: records,
-        sends,
+        sends: this.#tries.attempts,
       },
       isFailure,
     )
