The fixed part of the retry budget is spent once in its window, however often boxes restart

Class: a limit whose memory ends with the process. Ruled out: the store as a memory of what was spent (a call of each box and second), counts handed to a neighbour (all are killed at once). Change: a run that follows another earns its retries by its own requests alone for one window, and no box has a part of the fixed budget until it has read how many share it. Connections to upstreams are shared as before.

--- a/packages/decisions/test/routing.test.ts
+++ b/packages/decisions/test/routing.test.ts
@@ -111,7 +111,7 @@
       fc.property(fc.array(fc.nat(300), { minLength: 1, maxLength: 12 }), requestsByBox => {
         let retries = 0
         for (const requests of requestsByBox) {
-          const share = createRetryShare(limits)
+          const share = createRetryShare({ limits, slackFrom: 0 })
           for (let count = 0; count < requests; count++) noteRequest(share, 5_000)
           while (takeRetry(share, requestsByBox.length, 5_000)) retries++
         }
@@ -122,7 +122,10 @@
   })
 
   it('forgets what left the window', () => {
-    const share = createRetryShare({ ratio: 0.5, slack: 0, window: 10_000 })
+    const share = createRetryShare({
+      limits: { ratio: 0.5, slack: 0, window: 10_000 },
+      slackFrom: 0,
+    })
     for (let count = 0; count < 10; count++) noteRequest(share, 0)
     while (takeRetry(share, 1, 0));
     expect(takeRetry(share, 1, 9_000)).to.equal(false)
@@ -133,14 +136,20 @@
 
 describe('the retry budget of a service', () => {
   it('counts retries for the whole window, also those at the end of its oldest part', () => {
-    const share = createRetryShare({ ratio: 0, slack: 100, window: 10_000 })
+    const share = createRetryShare({
+      limits: { ratio: 0, slack: 100, window: 10_000 },
+      slackFrom: 0,
+    })
     while (takeRetry(share, 1, 990));
     expect(takeRetry(share, 1, 10_000)).to.equal(false)
     expect(takeRetry(share, 1, 11_000)).to.equal(true)
   })
 
   it('is not earned by requests for another service', () => {
-    const shares = createRetryShares({ ratio: 0.9, slack: 0, window: 10_000 })
+    const shares = createRetryShares({
+      limits: { ratio: 0.9, slack: 0, window: 10_000 },
+      slackFrom: 0,
+    })
     for (let count = 0; count < 100; count++) noteRequest(retryShareOf(shares, 'desk'), 0)
     for (let count = 0; count < 10; count++) noteRequest(retryShareOf(shares, 'pool'), 0)
     let retries = 0
@@ -149,7 +158,10 @@
   })
 
   it('follows limits that are changed while it runs', () => {
-    const shares = createRetryShares({ ratio: 0, slack: 0, window: 10_000 })
+    const shares = createRetryShares({
+      limits: { ratio: 0, slack: 0, window: 10_000 },
+      slackFrom: 0,
+    })
     expect(takeRetry(retryShareOf(shares, 'pool'), 1, 0)).to.equal(false)
     shares.limits = { ratio: 0, slack: 10, window: 10_000 }
     expect(takeRetry(retryShareOf(shares, 'pool'), 1, 0)).to.equal(true)
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -257,6 +257,12 @@
     ).length
   }
 
+  /** Boxes that share what all may use together: those entered in the store count before they are heard of. */
+  function knownBoxCount(): number {
+    return Math.max(services.boxCount(), peers.entered)
+  }
+
+  const startedAt = clock.now()
   const services: GatewayServices = {
     settings,
     clock,
@@ -268,15 +274,18 @@
     upstreams,
     rollouts,
     work,
-    retries: createRetryShares(settings.retries),
+    retries: createRetryShares({
+      limits: settings.retries,
+      slackFrom: settings.isFirstStart ? startedAt : startedAt + settings.retries.window,
+    }),
     gains: createConfidenceGains(),
     stalls: new StallWatch(clock, reachability),
     reachability,
     boxCount: () => peers.live().length + 1,
-    sharingBoxes: () => Math.max(services.boxCount(), peers.entered),
+    sharingBoxes: () => (peers.hasEntries ? knownBoxCount() : Infinity),
     channelLimit(service) {
       const most = operators.index?.service(service)?.maxConnections ?? Infinity
-      return Math.max(LEAST_CHANNELS, Math.floor((CHANNEL_PART * most) / services.sharingBoxes()))
+      return Math.max(LEAST_CHANNELS, Math.floor((CHANNEL_PART * most) / knownBoxCount()))
     },
   }
 
@@ -324,7 +333,6 @@
     onEntries: known => peers.takeEntries(known),
   })
 
-  const startedAt = clock.now()
   return {
     services,
     start() {
--- a/packages/gateway/src/tasks/knownBoxes.ts
+++ b/packages/gateway/src/tasks/knownBoxes.ts
@@ -36,6 +36,7 @@
 export class KnownBoxes {
   #entries = new Map<string, BoxEntry>()
   #version = 0
+  #hasEntries = false
   /** Boxes by the hash of their name, as hearsay names them. */
   readonly #byHash = new Map<number, string>()
   readonly #boxes = new Map<string, KnownBox>()
@@ -57,7 +58,13 @@
     return this.#entries.size
   }
 
+  /** The entries have been read from the store. */
+  get hasEntries(): boolean {
+    return this.#hasEntries
+  }
+
   takeEntries(entries: readonly BoxEntry[]): void {
+    this.#hasEntries = true
     this.#entries = new Map()
     this.#version++
     for (const entry of entries) this.addEntry(entry)
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -154,6 +154,11 @@
     return this.#known.entryCount
   }
 
+  /** The entries have been read, so that `entered` counts all boxes and not only those that spoke to this one. */
+  get hasEntries(): boolean {
+    return this.#known.hasEntries
+  }
+
   /** Boxes among the entries that have been silent for long. */
   silentEntries(): string[] {
     return this.#known.silentEntries()
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -27,7 +27,10 @@
   reachability: ReachabilityWatch
   /** Boxes that are heard of, and this one. */
   boxCount(): number
-  /** Boxes that share the budgets: those entered in the store count before they are heard of. */
+  /**
+   * Boxes that share the budgets. Infinite until the entries were read: seven boxes that started while the store was out each
+   * took the whole fixed part of a budget for their own, 315 retries of 50 (played on a moved clock).
+   */
   sharingBoxes(): number
   /** Connections that one upstream of a service takes from this box. */
   channelLimit(service: string): number
