Entries that are kept after an outage go when their time is up

Boxes that do not read the list take none while proofs say that it is the same. Class: a grace period that ends by an event which need not come. Ruled out: taking the same list again with each proof (work of 98 entries for each of some 10 messages a second). Change: a timer ends the period.

--- a/packages/decisions/src/listing/upstreamList.ts
+++ b/packages/decisions/src/listing/upstreamList.ts
@@ -76,6 +76,24 @@
   return gone
 }
 
+/**
+ * When the entries that are missing have had their time to come back; undefined where none is missing, or the store is out
+ * again.
+ */
+export function returnGraceEnd({ missing, isStoreOut, backAt }: UpstreamListState) {
+  return missing.size === 0 || isStoreOut || backAt === undefined
+    ? undefined
+    : backAt + RETURN_GRACE
+}
+
+/** Drops the entries that did not come back. Gives their ids. */
+export function dropMissing(state: UpstreamListState): string[] {
+  const gone = [...state.missing.keys()]
+  for (const id of gone) state.entries.delete(id)
+  state.missing.clear()
+  return gone
+}
+
 /** The newest revision of the entries at each address. */
 function addressOwners(listed: readonly ListedUpstream[]): Map<string, number> {
   const owners = new Map<string, number>()
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -2,6 +2,7 @@
   copySource,
   createExchangeHealth,
   createUpstreamListState,
+  dropMissing,
   hashText,
   isEjected,
   noteGone,
@@ -10,6 +11,7 @@
   noteListReturn,
   noteReachable,
   pickUpstream,
+  returnGraceEnd,
   takeUpstreamList,
   type Clock,
   type ExchangeHealth,
@@ -18,6 +20,7 @@
   type Milliseconds,
   type PromptWork,
   type Random,
+  type Timer,
   type UpstreamCandidate,
 } from '@yewkeel/decisions'
 import { UpstreamChannels } from '../node/upstreamChannels.js'
@@ -77,6 +80,7 @@
   #fingerprint = NO_LIST
   #version = 0
   #listed: readonly ListedUpstream[] = []
+  #graceTimer: Timer | undefined
 
   constructor(private readonly options: UpstreamDirectoryOptions) {}
 
@@ -110,6 +114,7 @@
   noteReturn(): void {
     if (this.#list.isStoreOut) this.options.log.note('list-back', { version: this.#version })
     noteListReturn(this.#list, this.options.clock.now())
+    this.#awaitGraceEnd()
   }
 
   /** Takes a whole list; an older one is passed over. True when it differs from the last one. */
@@ -122,12 +127,30 @@
     if (isFirst) this.#noteFirstList()
     const gone = takeUpstreamList(this.#list, listed, now)
     for (const id of gone) this.#forget(id)
+    this.#awaitGraceEnd()
     for (const entry of this.#list.entries.values()) this.#keep(entry, now, isFirst)
     const before = this.#fingerprint
     this.#fingerprint = fingerprintOf(listed)
     return before !== this.#fingerprint
   }
 
+  /**
+   * Entries that are kept after an outage go when their time is up, and not with the next list: boxes that do not read the list
+   * hear only that it is the same, and 28 of 30 kept an upstream that had left for as long as nothing else changed.
+   */
+  #awaitGraceEnd(): void {
+    const endsAt = returnGraceEnd(this.#list)
+    if (endsAt === undefined || this.#graceTimer) return
+    const { clock } = this.options
+    this.#graceTimer = clock.after(Math.max(0, endsAt - clock.now()), () => {
+      this.#graceTimer = undefined
+      const end = returnGraceEnd(this.#list)
+      if (end !== undefined && end <= clock.now())
+        for (const id of dropMissing(this.#list)) this.#forget(id)
+      else this.#awaitGraceEnd()
+    })
+  }
+
   pick(query: PickQuery): Upstream | undefined {
     const { random, dataCentre, clock, work } = this.options
     const now = clock.now()
