--- a/packages/decisions/test/listing.test.ts
+++ b/packages/decisions/test/listing.test.ts
@@ -70,6 +70,13 @@
     expect(takeUpstreamList(state, [successor, listed('a')], 8_100)).to.deep.equal(['old'])
   })
 
+  it('does not take an upstream back that has said that it leaves, when an older entry of it is written late', () => {
+    const state = createUpstreamListState()
+    takeUpstreamList(state, [listed('a'), listed('bb', 'draining')], 0)
+    takeUpstreamList(state, [listed('a'), listed('bb')], 1_000)
+    expect(state.entries.get('bb')?.state).to.equal('draining')
+  })
+
   it('takes a missing entry for gone when it lapses after the time to come back', () => {
     const state = createUpstreamListState()
     takeUpstreamList(state, [listed('a'), listed('bb')], 0)
