--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -57,8 +57,14 @@
   limits: { bodyBytes: 1_000, headerTimeout: 1_000, idleTimeout: 1_000 },
 }
 
+/** A call to the store of one box: it takes its time, is counted, and fails while the store is out or turns the box away. */
+export type StoreCall = <T>(work: () => T) => Promise<T>
+
 /** Gateways without callers on a moved clock, linked in memory, before one store that counts its calls. */
-export function createFleet(dataCentres: readonly string[]): Fleet {
+export function createFleet(
+  dataCentres: readonly string[],
+  createStore?: (call: StoreCall, clock: ManualClock) => Store,
+): Fleet {
   const clock = new ManualClock()
   const boxes: FleetBox[] = []
   const notes: Fleet['notes'] = []
@@ -83,6 +89,7 @@
       await pause(DELAY)
       return value
     }
+    if (createStore) return createStore(call, clock)
     const read = <T>(value: () => T) =>
       call(() => ({ value: value(), version: store.version, storeNow: clock.now() }))
     return {
