Evacuations are kept, and rows that operators take back end nothing but what they asked for

Cause: the operators' state had the revision of its newest row, which falls when that row goes; feeds went on from it, so that a history that was gone was asked for again at once. Ruled out: a proof that is lost between boxes (a single box shows it, too). Change: the state's revision is the store's version at the read, and a fingerprint of the rows says whether two states say the same; a proof raises the revision, so feeds go on from the newest version. Evacuated data centres are part of the state, in force within the shortest of the bounds, and nothing is sent to their upstreams; versions there count as not ready. A read that proves nothing is followed by the pause after a failure, and no loop asks more often than ten times a second whatever is wrong. A service whose upstreams all stand in evacuated data centres refuses at once.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -87,6 +87,7 @@
     log,
     onChange(next) {
       rollouts.takeOrders(next.orders)
+      upstreams.evacuate(next.evacuated)
       options.onConfiguration(next)
     },
   })
@@ -155,7 +156,11 @@
         busy: rollouts.ownBusy,
       },
       ...(operators.state.revision > 0 && {
-        operators: { revision: operators.state.revision, age: operators.age },
+        operators: {
+          revision: operators.state.revision,
+          fingerprint: operators.state.fingerprint,
+          age: operators.age,
+        },
       }),
       ...(upstreams.version > 0 && {
         upstreams: {
@@ -167,9 +172,11 @@
       rollouts: rollouts.statuses,
       ...(rollouts.storeNow !== undefined && { storeNow: rollouts.storeNow }),
     }),
-    onOperatorsProved(revision, provedAt) {
+    onOperatorsProved({ revision, fingerprint }, provedAt) {
+      if (fingerprint !== operators.state.fingerprint)
+        return revision > operators.state.revision ? 'wanted' : 'known'
       operators.prove(revision, provedAt)
-      return revision > operators.state.revision ? 'wanted' : 'known'
+      return 'known'
     },
     onUpstreamsProved({ revision, fingerprint }, provedAt) {
       if (fingerprint !== upstreams.fingerprint)
@@ -179,8 +186,9 @@
       return 'known'
     },
     onOperators(next) {
-      const before = operators.state.revision
-      if (operators.take(next) && operators.state.revision > before) announce()
+      const before = operators.state.fingerprint
+      operators.take(next)
+      if (operators.state.fingerprint !== before) announce()
     },
     onUpstreams(entries, version, provedAt) {
       if (provedAt !== undefined) reader.proveList(provedAt)
--- a/packages/gateway/src/tasks/operatorTask.ts
+++ b/packages/gateway/src/tasks/operatorTask.ts
@@ -9,6 +9,9 @@
 } from '@yewkeel/decisions'
 import type { EventLog, OperatorState } from '../types/ports.js'
 
+/** The fingerprint before the first state: hashes are never negative. */
+const NO_STATE = -1
+
 export interface OperatorTaskOptions {
   clock: Clock
   log: EventLog
@@ -17,9 +20,10 @@
 
 /** Holds the operators' newest state, and the proof of how new it is. It never goes back. */
 export class OperatorTask {
-  #state: OperatorState = { revision: 0, orders: [] }
+  #state: OperatorState = { revision: 0, fingerprint: NO_STATE, orders: [], evacuated: [] }
   #index: RouteIndex | undefined
   readonly #proof: Confirmation = {}
+  #evacuated: readonly string[] = []
 
   constructor(private readonly options: OperatorTaskOptions) {}
 
@@ -40,7 +44,10 @@
   /** Takes a state; an older one is passed over. True when it is as new as the present one. */
   take(state: OperatorState): boolean {
     if (state.revision < this.#state.revision) return false
-    if (state.revision === this.#state.revision) return true
+    if (state.fingerprint === this.#state.fingerprint) {
+      this.#sameAt(state.revision)
+      return true
+    }
     const current = this.#index?.configuration.revision ?? -1
     const offered = state.configuration
     if (offered && offered.revision < current) return false
@@ -54,12 +61,26 @@
         organisations: offered.organisations?.length,
       })
     }
+    this.#noteEvacuations(state.evacuated)
     this.options.onChange(state)
     return true
   }
 
-  /** At `provedAt` the store had nothing newer than `revision`. */
+  /** At `provedAt` the store, at `revision`, said just what this box holds. */
   prove(revision: number, provedAt: Milliseconds): void {
-    if (revision === this.#state.revision) confirm(this.#proof, provedAt)
+    this.#sameAt(revision)
+    confirm(this.#proof, provedAt)
+  }
+
+  /** What is held was still the newest at a later revision. Feeds go on from there, so that their history is not gone. */
+  #sameAt(revision: number): void {
+    if (revision > this.#state.revision) this.#state = { ...this.#state, revision }
+  }
+
+  #noteEvacuations(evacuated: readonly string[]): void {
+    const before = this.#evacuated
+    this.#evacuated = evacuated
+    if (evacuated.join() !== before.join())
+      this.options.log.note('evacuated', { dataCentres: evacuated, before })
   }
 }
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -16,7 +16,6 @@
   GatewayMessage,
   GatewayState,
   Gossip,
-  ListProofAge,
   OwnReport,
   ProofAge,
   UpstreamsMessage,
@@ -43,8 +42,8 @@
   transport: PeerTransport<GatewayMessage>
   content(): GossipContent
   /** A neighbour vouches that the store's newest was this at `provedAt`, on this box's clock. */
-  onOperatorsProved(revision: number, provedAt: Milliseconds): ProofAnswer
-  onUpstreamsProved(list: ListProofAge, provedAt: Milliseconds): ProofAnswer
+  onOperatorsProved(proof: ProofAge, provedAt: Milliseconds): ProofAnswer
+  onUpstreamsProved(proof: ProofAge, provedAt: Milliseconds): ProofAnswer
   onOperators(state: OperatorState): void
   /** Undefined `provedAt`: whoever sent the list does not know how old it is. */
   onUpstreams(entries: ListedUpstream[], version: number, provedAt: Milliseconds | undefined): void
@@ -350,7 +349,7 @@
     const { onOperatorsProved, onUpstreamsProved } = this.options
     const provedAt = ({ age }: ProofAge) =>
       vouchedAt({ echo: echo.stamp, heldFor: echo.heldFor, age })
-    if (operators && onOperatorsProved(operators.revision, provedAt(operators)) === 'wanted')
+    if (operators && onOperatorsProved(operators, provedAt(operators)) === 'wanted')
       this.#ask(from, { type: 'operators-wanted' })
     if (upstreams && onUpstreamsProved(upstreams, provedAt(upstreams)) === 'wanted')
       this.#ask(from, { type: 'upstreams-wanted', stamp: this.options.clock.now() })
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -55,6 +55,8 @@
 const AFTER_FAILURE: Milliseconds = 250
 /** ... and the others together this often, since every call is priced: each waits its turn. */
 const OTHERS_AFTER_FAILURE: Milliseconds = 125
+/** However a loop fares, its steps begin no sooner one after the other: a store that answers at once would be asked without end. */
+const LEAST_STEP: Milliseconds = 100
 /** A box that knows nothing yet doubles its pause up to this. */
 const LONGEST_AFTER_FAILURE: Milliseconds = 1_000
 
@@ -102,6 +104,7 @@
   async #loop(step: () => Promise<Milliseconds>): Promise<void> {
     const { clock, log } = this.options
     while (!this.#isStopped) {
+      const begunAt = clock.now()
       let pause: Milliseconds
       try {
         pause = await step()
@@ -109,11 +112,13 @@
         this.#noteFailure(error)
         pause = this.#pauseAfterFailure()
       }
+      pause = Math.max(pause, LEAST_STEP - (clock.now() - begunAt))
       if (pause > 0) await sleep(clock, pause)
     }
     log.note('store-reader-stopped', {})
   }
 
+  /** After a call that failed, and after a read that proves nothing: a box that can't prove what it holds asks as seldom. */
   #pauseAfterFailure(): Milliseconds {
     const { operators, isReader, boxCount } = this.options
     if (operators.state.revision === 0) {
@@ -137,7 +142,7 @@
       const news = await store.awaitOperatorState(revision, wait)
       this.#noteAnswer(news.storeNow)
       if (!news.value) {
-        operators.prove(revision, sentAt)
+        operators.prove(news.version, sentAt)
         // Told at once and not in the next round, a proof reaches boxes four hops away before they read for themselves: 60
         // boxes, idle, ask the store 3.9 times a second in place of 7.1.
         if (isReader()) this.options.onOperatorsRead()
@@ -147,10 +152,12 @@
     const readAt = clock.now()
     const read = await store.readOperatorState()
     this.#noteAnswer(read.storeNow)
-    if (operators.take(read.value)) operators.prove(read.value.revision, readAt)
+    const isNewest = operators.take(read.value)
+    if (isNewest) operators.prove(read.value.revision, readAt)
     this.options.onOperatorsRead()
     if (read.value.orders.length > 0) rollouts.takeStatuses((await store.readRollouts()).value)
-    return isFirst && !operators.index ? AFTER_FAILURE : 0
+    if (isFirst && !operators.index) return AFTER_FAILURE
+    return isNewest ? 0 : this.#pauseAfterFailure()
   }
 
   async #readUpstreams(): Promise<Milliseconds> {
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -81,6 +81,7 @@
   #version = 0
   #listed: readonly ListedUpstream[] = []
   #graceTimer: Timer | undefined
+  #evacuated: ReadonlySet<string> = new Set()
 
   constructor(private readonly options: UpstreamDirectoryOptions) {}
 
@@ -151,12 +152,17 @@
     })
   }
 
+  /** Nothing more is sent to the upstreams of these data centres. What is under way there goes on. */
+  evacuate(dataCentres: readonly string[]): void {
+    this.#evacuated = new Set(dataCentres)
+  }
+
   pick(query: PickQuery): Upstream | undefined {
     const { random, dataCentre, clock, work } = this.options
     const now = clock.now()
     const candidates: Upstream[] = []
     for (const upstream of this.#upstreams.values()) {
-      if (!isCandidate(upstream, query)) continue
+      if (!this.#isCandidate(upstream, query)) continue
       upstream.load = loadOf(upstream, now)
       upstream.waiting = work.waiting(upstream.listed.id)
       upstream.slowness = work.slowness(upstream.listed.id)
@@ -171,7 +177,7 @@
 
   /** Whether some upstream would take a request once one of its connections is free. */
   couldTake(query: PickQuery): boolean {
-    return [...this.#upstreams.values()].some(upstream => isEligible(upstream, query))
+    return [...this.#upstreams.values()].some(upstream => this.#isEligible(upstream, query))
   }
 
   /** From where an upstream copies the shared parts of a prompt in place of reading them, if that pays. */
@@ -180,7 +186,7 @@
     const now = this.options.clock.now()
     const members: Upstream[] = []
     for (const upstream of this.#upstreams.values()) {
-      if (upstream.listed.service !== service || upstream.listed.state !== 'ready') continue
+      if (upstream.listed.service !== service || !this.#takesRequests(upstream)) continue
       upstream.isEjected = isEjected(upstream.health, now)
       members.push(upstream)
     }
@@ -197,8 +203,9 @@
   /** Versions of a service that some upstream serves and takes requests for. */
   readyVersions(service: string): Map<string, number> {
     const versions = new Map<string, number>()
-    for (const { listed } of this.#upstreams.values()) {
-      if (listed.service !== service || listed.state !== 'ready') continue
+    for (const upstream of this.#upstreams.values()) {
+      const { listed } = upstream
+      if (listed.service !== service || !this.#takesRequests(upstream)) continue
       versions.set(listed.version, (versions.get(listed.version) ?? 0) + 1)
     }
     return versions
@@ -260,6 +267,29 @@
     return this.#upstreams.get(upstream.listed.id) === upstream
   }
 
+  /** Whether requests may be sent there at all. */
+  #takesRequests({ listed }: Upstream): boolean {
+    return listed.state === 'ready' && !this.#evacuated.has(listed.dataCentre)
+  }
+
+  /** It may be sent the request, whether or not a connection is free. */
+  #isEligible(upstream: Upstream, query: PickQuery): boolean {
+    const { listed, health } = upstream
+    return (
+      listed.service === query.service &&
+      this.#takesRequests(upstream) &&
+      !health.isGone &&
+      query.admits(listed.version) &&
+      !query.tried.includes(listed.id)
+    )
+  }
+
+  #isCandidate(upstream: Upstream, query: PickQuery): boolean {
+    const { channels } = upstream
+    const hasChannel = channels.idle > 0 || channels.open < query.channelLimit
+    return this.#isEligible(upstream, query) && hasChannel
+  }
+
   #hearsOthers(upstream: Upstream): boolean {
     const since = this.options.clock.now() - HEARS_OTHERS_WITHIN
     return [...this.#upstreams.values()].some(
@@ -322,22 +352,6 @@
   }
 }
 
-function isCandidate(upstream: Upstream, query: PickQuery): boolean {
-  const { channels } = upstream
-  return isEligible(upstream, query) && (channels.idle > 0 || channels.open < query.channelLimit)
-}
-
-/** It may be sent the request, whether or not a connection is free. */
-function isEligible({ listed, health }: Upstream, query: PickQuery): boolean {
-  return (
-    listed.service === query.service &&
-    listed.state === 'ready' &&
-    !health.isGone &&
-    query.admits(listed.version) &&
-    !query.tried.includes(listed.id)
-  )
-}
-
 function loadOf({ inFlight, told }: Upstream, now: Milliseconds): number {
   if (!told || now - told.at > TOLD_LOAD_LIFETIME) return inFlight
   return inFlight + Math.max(0, told.load - told.own)
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -25,16 +25,13 @@
   answers: AnswerCount[]
 }
 
-/** A proof that something read from the store was the newest there. */
+/** A proof that something read from the store was the newest there. The store changes all the time, what it says seldom. */
 export interface ProofAge {
+  /** Of the store as a whole. */
   revision: number
-  age: Milliseconds
-}
-
-/** The same for the list of upstreams. Its rows change all the time, what they say seldom. */
-export interface ListProofAge extends ProofAge {
-  /** Equal for lists that say the same. */
+  /** Equal where the content says the same. */
   fingerprint: number
+  age: Milliseconds
 }
 
 /** What a box tells its neighbours a few times a second. */
@@ -48,7 +45,7 @@
   /** Packed hearsay. News alone in every other round; empty where every box is linked to every other. */
   others: Uint8Array
   operators?: ProofAge
-  upstreams?: ListProofAge
+  upstreams?: ProofAge
   rollouts: RolloutStatus[]
   /** Prompts that engines have still to read for the sender. Left empty where a relay is told of them. */
   work: WorkEntry[]
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -9,10 +9,17 @@
 
 /** What the operators wrote. */
 export interface OperatorState {
-  /** Rises with each of their writes. */
+  /**
+   * Of the store as a whole when it was read. The newest of the rows would not do: it falls when the operators take a row back,
+   * and a state that seems older than the one that is held is passed over.
+   */
   revision: number
+  /** Equal for states that say the same. */
+  fingerprint: number
   configuration?: Configuration
   orders: readonly RolloutOrder[]
+  /** Data centres to whose upstreams nothing more may be sent. */
+  evacuated: readonly string[]
 }
 
 /** An answer of the store, and the store's clock when it gave it. */
@@ -39,7 +46,10 @@
 /** The store in which everything lies that must last. Calls reject with an error when there is no answer. */
 export interface Store {
   readOperatorState(): Promise<StoreRead<OperatorState>>
-  /** Resolves once the operators' state is newer than `revision`, or after `wait`. True if it is newer. */
+  /**
+   * Resolves once the operators have written or taken back something since `revision`, or after `wait`. True if they have; else
+   * the answer's version says up to when they have not.
+   */
   awaitOperatorState(revision: number, wait: Milliseconds): Promise<StoreRead<boolean>>
   readUpstreams(): Promise<StoreRead<readonly ListedUpstream[]>>
   readRollouts(): Promise<StoreRead<readonly RolloutStatus[]>>
--- a/packages/gateway/test/storeReader.test.ts
+++ b/packages/gateway/test/storeReader.test.ts
@@ -25,7 +25,7 @@
     metrics: createGatewayMetrics(),
     store,
     operators: {
-      state: { revision: 1, orders: [] },
+      state: { revision: 1, fingerprint: 1, orders: [], evacuated: [] },
       get age() {
         return clock.now()
       },
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -71,7 +71,13 @@
   const store: Fleet['store'] = {
     isOut: false,
     calls: 0,
-    operators: { revision: 1, configuration: CONFIGURATION, orders: [] },
+    operators: {
+      revision: 1,
+      fingerprint: 1,
+      configuration: CONFIGURATION,
+      orders: [],
+      evacuated: [],
+    },
     upstreams: [],
     version: 5,
     entries: new Map(),
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -161,7 +161,13 @@
     ...configuration,
   }
   const state = {
-    operators: { revision: 1, configuration: content, orders: [] } as OperatorState,
+    operators: {
+      revision: 1,
+      fingerprint: 1,
+      configuration: content,
+      orders: [],
+      evacuated: [],
+    } as OperatorState,
     upstreams: upstreams.map(upstream => upstream.listed),
     isOut: false,
     version: 1,
