What is known of an upstream ends with its run, and entries of other writers name none

Cause: health, work, connections, tries and leaving were kept by an upstream's name, which may now stand for a later run; entries were taken as soon as they could be decoded, and the newest at an address drove all others off the list, whoever wrote it. Change: a run is named by its upstream and its start. Fixtures: the fleet's configuration names the service that its upstreams belong to.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -2,6 +2,7 @@
 import {
   createConfidenceGains,
   createRetryShares,
+  runOf,
   type Clock,
   type Milliseconds,
   type Random,
@@ -88,6 +89,7 @@
     onChange(next) {
       rollouts.takeOrders(next.orders)
       upstreams.evacuate(next.evacuated)
+      upstreams.reconsider()
       options.onConfiguration(next)
     },
   })
@@ -104,12 +106,14 @@
     log,
     metrics,
     work,
+    namesService: name =>
+      operators.index === undefined || operators.index.service(name) !== undefined,
     knowsFarWork: () => peers.isMesh,
     onUnreachable(upstream) {
       services.stalls.giveUpOn(upstream)
       reachability.awaitReturn(upstream)
     },
-    onGone: ({ listed }) => peers.tellGone([listed.id]),
+    onGone: ({ listed }) => peers.tellGone([runOf(listed)]),
   })
   const reachability = new ReachabilityWatch({
     clock,
@@ -194,7 +198,7 @@
       if (provedAt !== undefined) reader.proveList(provedAt)
       if (upstreams.take(entries, version)) announce()
     },
-    onUpstreamsGone: ids => ids.filter(id => upstreams.takeGone(id)),
+    onUpstreamsGone: runs => runs.filter(run => upstreams.takeGone(run)),
     onRollouts: statuses => rollouts.takeStatuses(statuses),
     onWork: (box, entries) => work.takePeerWork(box, entries),
     onWorkSums: entries => work.takeSums(entries),
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -1,5 +1,6 @@
 import {
   retryShareOf,
+  runOf,
   type ExchangeOutcome,
   type Milliseconds,
   type PromptWork,
@@ -48,7 +49,7 @@
  * A request on its way: which upstreams it was sent to, whether it may have run, and its one final answer.
  */
 export class ForwardedRequest {
-  /** Upstreams that are not tried again. */
+  /** Runs of upstreams that are not tried again. */
   readonly tried: string[] = []
   readonly #tries: TryAccount
   isOver = false
@@ -162,7 +163,7 @@
       ...fields,
       urgency: urgencyOf(organisation?.priority ?? 0, route.priority),
     }
-    this.tried.push(upstream.listed.id)
+    this.tried.push(runOf(upstream.listed))
     this.#tries.noteSent()
     const { id, version } = upstream.listed
     const at = clock.now()
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -47,8 +47,8 @@
   onOperators(state: OperatorState): void
   /** Undefined `provedAt`: whoever sent the list does not know how old it is. */
   onUpstreams(entries: ListedUpstream[], version: number, provedAt: Milliseconds | undefined): void
-  /** Neighbours know that these upstreams are gone. Gives those of which this box did not. */
-  onUpstreamsGone(ids: readonly string[]): string[]
+  /** Neighbours know that these runs of upstreams are gone. Gives those of which this box did not. */
+  onUpstreamsGone(runs: readonly string[]): string[]
   onRollouts(statuses: RolloutStatus[]): void
   onWork(box: string, entries: WorkEntry[]): void
   onWorkSums(entries: WorkEntry[]): void
@@ -108,7 +108,7 @@
   #sequence = 0
   #role: WorkRole = 'direct'
   #listeners: BoxEntry[] = []
-  /** Upstreams that are gone, not yet told of. */
+  /** Runs of upstreams that are gone, not yet told of. */
   readonly #goneToTell: string[] = []
   #toldHearsayAt = -Infinity
   #drawn: Circle | undefined
@@ -127,8 +127,8 @@
     operators: (_from, message) => this.options.onOperators(message.state),
     'upstreams-wanted': (from, { stamp }) =>
       this.#reply(from, { type: 'upstreams', stamp, ...this.options.currentUpstreams() }),
-    'upstreams-gone': (_from, { ids }) => {
-      const news = this.options.onUpstreamsGone(ids)
+    'upstreams-gone': (_from, { runs }) => {
+      const news = this.options.onUpstreamsGone(runs)
       // In a mesh whoever found out tells all.
       if (!this.isMesh) this.tellGone(news)
     },
@@ -215,18 +215,18 @@
   }
 
   /**
-   * Tells the neighbours that upstreams are gone, with what else is found out in the next moments. Each box passes each name on
+   * Tells the neighbours that runs of upstreams are gone, with what else is found out in the next moments. Each box passes each name on
    * once: 60 boxes know of 40 upstreams within 100 ms (played on a moved clock), where each would have to be turned away once.
    */
-  tellGone(ids: readonly string[]): void {
-    if (ids.length === 0) return
+  tellGone(runs: readonly string[]): void {
+    if (runs.length === 0) return
     const isFirst = this.#goneToTell.length === 0
-    this.#goneToTell.push(...ids)
+    this.#goneToTell.push(...runs)
     if (isFirst) this.options.clock.after(TELL_GONE_AFTER, () => this.#flushGone())
   }
 
   #flushGone(): void {
-    const message: GatewayMessage = { type: 'upstreams-gone', ids: this.#goneToTell.splice(0) }
+    const message: GatewayMessage = { type: 'upstreams-gone', runs: this.#goneToTell.splice(0) }
     this.#tell(this.#circle.neighbours, () => message)
   }
 
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -12,6 +12,7 @@
   noteReachable,
   pickUpstream,
   returnGraceEnd,
+  runOf,
   takeUpstreamList,
   type Clock,
   type ExchangeHealth,
@@ -41,7 +42,7 @@
   service: string
   /** Versions that the request may run on. */
   admits(version: string): boolean
-  /** Ids that the request has been sent to. */
+  /** Runs that the request has been sent to. */
   tried: readonly string[]
   /** What the request's prompt costs, where it has one. */
   prompt?: PromptWork
@@ -65,6 +66,8 @@
   log: EventLog
   metrics: GatewayMetrics
   work: EngineWork
+  /** Whether the operators' configuration names the service. Of any other no entry counts, not even at its address. */
+  namesService(service: string): boolean
   /** Whether the boxes of other data centres tell this one what they have sent to upstreams. */
   knowsFarWork(): boolean
   /** An upstream takes no connections. */
@@ -124,17 +127,27 @@
     const isFirst = this.#version === 0
     this.#version = version
     this.#listed = listed
-    const now = this.options.clock.now()
     if (isFirst) this.#noteFirstList()
-    const gone = takeUpstreamList(this.#list, listed, now)
-    for (const id of gone) this.#forget(id)
-    this.#awaitGraceEnd()
-    for (const entry of this.#list.entries.values()) this.#keep(entry, now, isFirst)
+    this.#believe(isFirst)
     const before = this.#fingerprint
     this.#fingerprint = fingerprintOf(listed)
     return before !== this.#fingerprint
   }
 
+  /** The operators' configuration may name other services than before. */
+  reconsider(): void {
+    if (this.#version > 0) this.#believe(false)
+  }
+
+  #believe(isFirst: boolean): void {
+    const { clock, namesService } = this.options
+    const now = clock.now()
+    const named = this.#listed.filter(({ service }) => namesService(service))
+    for (const id of takeUpstreamList(this.#list, named, now)) this.#forget(id)
+    this.#awaitGraceEnd()
+    for (const entry of this.#list.entries.values()) this.#keep(entry, now, isFirst)
+  }
+
   /**
    * Entries that are kept after an outage go when their time is up, and not with the next list: boxes that do not read the list
    * hear only that it is the same, and 28 of 30 kept an upstream that had left for as long as nothing else changed.
@@ -248,11 +261,11 @@
     })
   }
 
-  /** Another box found another process at an upstream's address. True if that is news. */
-  takeGone(id: string): boolean {
-    const upstream = this.#upstreams.get(id)
+  /** Another box found another process at the address of an upstream's run. True if that is news. */
+  takeGone(run: string): boolean {
+    const upstream = [...this.#upstreams.values()].find(({ listed }) => runOf(listed) === run)
     if (!upstream || !noteGone(upstream.health)) return false
-    this.options.log.note('upstream-replaced', { upstream: id, service: upstream.listed.service })
+    this.options.log.note('upstream-replaced', { upstream: run, service: upstream.listed.service })
     return true
   }
 
@@ -280,7 +293,7 @@
       this.#takesRequests(upstream) &&
       !health.isGone &&
       query.admits(listed.version) &&
-      !query.tried.includes(listed.id)
+      !query.tried.includes(runOf(listed))
     )
   }
 
@@ -358,6 +371,6 @@
 }
 
 function fingerprintOf(entries: readonly ListedUpstream[]): number {
-  const parts = entries.map(({ id, state, address }) => `${id} ${state} ${address}`).sort()
-  return hashText(parts.join('\n'))
+  const parts = entries.map(entry => `${runOf(entry)} ${entry.state} ${entry.address}`)
+  return hashText(parts.sort().join('\n'))
 }
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -65,8 +65,8 @@
   | { type: 'operators-wanted' }
   | { type: 'operators'; state: OperatorState }
   | { type: 'upstreams-wanted'; stamp: Milliseconds }
-  /** Other processes answer at the addresses of these upstreams. */
-  | { type: 'upstreams-gone'; ids: string[] }
+  /** Other processes answer at the addresses of these runs of upstreams. */
+  | { type: 'upstreams-gone'; runs: string[] }
   | UpstreamsMessage
 
 /** The list of upstreams, asked for by `upstreams-wanted`. */
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -42,6 +42,7 @@
     log: { note: () => {}, request: () => {} },
     metrics: createGatewayMetrics(),
     work: new EngineWork({ clock, tell: () => {}, role: () => 'direct', listeners: () => 0 }),
+    namesService: () => true,
     knowsFarWork: () => true,
     onGone: () => {},
     onUnreachable: upstream => void unreachable.push(upstream.listed.id),
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -53,7 +53,7 @@
 const CONFIGURATION: Configuration = {
   revision: 1,
   routes: [],
-  services: [],
+  services: [{ name: 'pool', healthPath: '/', maxConnections: 100 }],
   limits: { bodyBytes: 1_000, headerTimeout: 1_000, idleTimeout: 1_000 },
 }
 
