Cold upstreams get no more from all boxes together than they bear

Cause: nothing read what a cold upstream bears nor how long it is cold, so that one that had just started, with nothing to read yet, drew the prompts of all boxes (20 and 21 in a second where 18.2 are allowed). Change: entries tell how long an upstream is cold and the configuration what it bears; three boxes, drawn by rendezvous, send to it, each spaced so that twice as many keep within the bound. After an evacuation and after a silence an upstream counts as cold until its entry had time to speak. Whether it is cold is part of the list's fingerprint.

--- a/packages/decisions/src/routes/configuration.ts
+++ b/packages/decisions/src/routes/configuration.ts
@@ -42,6 +42,16 @@
   healthPath: string
   /** Connections that one upstream accepts from all boxes together. */
   maxConnections: number
+  /** What an upstream bears that has just started. Left out where that is as much as later. */
+  cold?: ColdStart
+}
+
+/** How an upstream is after its start. */
+export interface ColdStart {
+  /** It is warm after this at the latest. */
+  lasts: Milliseconds
+  /** Requests a second that it bears until then, from all boxes together. */
+  perSecond: number
 }
 
 export interface OrganisationKeys {
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -11,6 +11,7 @@
 import { probeConnection } from './node/connectInTime.js'
 import { handleCaller } from './requests/handleCaller.js'
 import { StallWatch } from './requests/stallWatch.js'
+import { ColdGuard, coldAfterReturn } from './tasks/coldGuard.js'
 import { EngineWork } from './tasks/engineWork.js'
 import { EntryTask } from './tasks/entryTask.js'
 import { OperatorTask } from './tasks/operatorTask.js'
@@ -99,6 +100,16 @@
     role: () => peers.role,
     listeners: () => peers.listeners,
   })
+  const cold: ColdGuard = new ColdGuard({
+    clock,
+    self: identity.box,
+    limitOf(service) {
+      const { perSecond } = operators.index?.service(service)?.cold ?? {}
+      const { times, slack } = settings.coldOverage
+      return perSecond === undefined ? undefined : { perSecond, most: perSecond * times + slack }
+    },
+    boxes: () => peers.places,
+  })
   const upstreams: UpstreamDirectory = new UpstreamDirectory({
     clock,
     random,
@@ -106,6 +117,11 @@
     log,
     metrics,
     work,
+    cold,
+    coldAfterReturn(service) {
+      const start = operators.index?.service(service)?.cold
+      return start ? coldAfterReturn(start.lasts) : 0
+    },
     namesService: name =>
       operators.index === undefined || operators.index.service(name) !== undefined,
     knowsFarWork: () => peers.isMesh,
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -143,6 +143,7 @@
     const query = this.#query(prompt)
     for (;;) {
       const found = upstreams.pick(query)
+      if (found) upstreams.noteChosen(found)
       if (found || this.isOver || clock.now() >= until || !upstreams.couldTake(query)) return found
       await new Promise<void>(resolve => clock.after(LOOK_AGAIN, resolve))
     }
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -5,6 +5,7 @@
   ringNeighbours,
   vouchedAt,
   type AnswerCount,
+  type BoxPlace,
   type Clock,
   type ListedUpstream,
   type Milliseconds,
@@ -112,6 +113,7 @@
   readonly #goneToTell: string[] = []
   #toldHearsayAt = -Infinity
   #drawn: Circle | undefined
+  #placed: { version: number; hasEntries: boolean; places: readonly BoxPlace[] } | undefined
 
   readonly #handlers: MessageHandlers = {
     gossip: (from, message) => this.#hearGossip(from, message),
@@ -169,6 +171,18 @@
     return this.#known.hasEntries
   }
 
+  /** The boxes that are entered, this one among them; none until the entries were read. */
+  get places(): { version: number; places: readonly BoxPlace[] } {
+    const { version, entries, hasEntries } = this.#known
+    if (this.#placed?.version === version && this.#placed.hasEntries === hasEntries)
+      return this.#placed
+    const { self } = this.options
+    const others = entries.filter(({ box }) => box !== self.box)
+    const places = hasEntries ? [...others, self] : []
+    this.#placed = { version, hasEntries, places }
+    return this.#placed
+  }
+
   /** Boxes among the entries that have been silent for long. */
   silentEntries(): string[] {
     return this.#known.silentEntries()
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -26,6 +26,7 @@
 } from '@yewkeel/decisions'
 import { UpstreamChannels } from '../node/upstreamChannels.js'
 import type { EventLog, GatewayMetrics } from '../types/ports.js'
+import type { ColdGuard } from './coldGuard.js'
 import type { EngineWork } from './engineWork.js'
 
 /** An upstream that requests may be sent to. */
@@ -36,6 +37,10 @@
   inFlight: number
   /** What the upstream last told of its load, and how much of that was ours. */
   told?: { load: number; own: number; at: Milliseconds }
+  /** Until then it counts as cold. */
+  coldUntil: Milliseconds
+  /** When this box last chose it for a request. */
+  lastSentAt: Milliseconds
 }
 
 export interface PickQuery {
@@ -66,6 +71,9 @@
   log: EventLog
   metrics: GatewayMetrics
   work: EngineWork
+  cold: ColdGuard
+  /** How long an upstream of a service may be cold after it was away, as far as its entry does not say. */
+  coldAfterReturn(service: string): Milliseconds
   /** Whether the operators' configuration names the service. Of any other no entry counts, not even at its address. */
   namesService(service: string): boolean
   /** Whether the boxes of other data centres tell this one what they have sent to upstreams. */
@@ -167,7 +175,24 @@
 
   /** Nothing more is sent to the upstreams of these data centres. What is under way there goes on. */
   evacuate(dataCentres: readonly string[]): void {
+    const before = this.#evacuated
     this.#evacuated = new Set(dataCentres)
+    for (const upstream of this.#upstreams.values()) {
+      const { dataCentre } = upstream.listed
+      if (before.has(dataCentre) && !this.#evacuated.has(dataCentre)) this.#suspectCold(upstream)
+    }
+  }
+
+  /** It has been away, and may be cold although its newest entry does not say so. */
+  #suspectCold(upstream: Upstream): void {
+    const { clock, coldAfterReturn } = this.options
+    const until = clock.now() + coldAfterReturn(upstream.listed.service)
+    upstream.coldUntil = Math.max(upstream.coldUntil, until)
+  }
+
+  /** A request is about to be sent there. */
+  noteChosen(upstream: Upstream): void {
+    upstream.lastSentAt = this.options.clock.now()
   }
 
   pick(query: PickQuery): Upstream | undefined {
@@ -190,7 +215,10 @@
 
   /** Whether some upstream would take a request once one of its connections is free. */
   couldTake(query: PickQuery): boolean {
-    return [...this.#upstreams.values()].some(upstream => this.#isEligible(upstream, query))
+    const { cold } = this.options
+    return [...this.#upstreams.values()].some(
+      upstream => this.#isEligible(upstream, query) && cold.admitsSoon(upstream),
+    )
   }
 
   /** From where an upstream copies the shared parts of a prompt in place of reading them, if that pays. */
@@ -272,6 +300,7 @@
   /** An upstream that could not be reached answers again. */
   noteReturned(upstream: Upstream): void {
     noteReachable(upstream.health)
+    this.#suspectCold(upstream)
     const { id, service } = upstream.listed
     this.options.log.note('upstream-reachable', { upstream: id, service })
   }
@@ -300,7 +329,7 @@
   #isCandidate(upstream: Upstream, query: PickQuery): boolean {
     const { channels } = upstream
     const hasChannel = channels.idle > 0 || channels.open < query.channelLimit
-    return this.#isEligible(upstream, query) && hasChannel
+    return this.#isEligible(upstream, query) && hasChannel && this.options.cold.admits(upstream)
   }
 
   #hearsOthers(upstream: Upstream): boolean {
@@ -336,6 +365,8 @@
         waiting: 0,
         slowness: 1,
         isEjected: false,
+        coldUntil: now + (entry.coldFor ?? 0),
+        lastSentAt: -Infinity,
       })
       if (!isFirst) this.options.log.note('upstream-listed', { upstream: entry })
       return
@@ -344,6 +375,8 @@
       this.options.log.note('upstream-state', { upstream: entry.id, state: entry.state })
       if (entry.state === 'draining') known.channels.retire()
     }
+    if (entry.revision > known.listed.revision && entry.coldFor !== undefined)
+      known.coldUntil = Math.max(known.coldUntil, now + entry.coldFor)
     known.listed = entry
   }
 
@@ -371,6 +404,9 @@
 }
 
 function fingerprintOf(entries: readonly ListedUpstream[]): number {
-  const parts = entries.map(entry => `${runOf(entry)} ${entry.state} ${entry.address}`)
+  const parts = entries.map(entry => {
+    const warmth = entry.coldFor === undefined ? 'warm' : 'cold'
+    return [runOf(entry), entry.state, entry.address, warmth].join(' ')
+  })
   return hashText(parts.sort().join('\n'))
 }
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -11,6 +11,8 @@
   /** A planned stop ends within this. */
   stopWithin: Milliseconds
   retries: RetryShareLimits
+  /** A cold upstream may get this many times what it bears in one second, and so many requests more. */
+  coldOverage: { times: number; slack: number }
   /** Answers of which the model is less sure than this are doubtful, 0 to 100. */
   confidenceThreshold: number
 }
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -7,6 +7,7 @@
 } from '@yewkeel/decisions'
 import { expect } from 'chai'
 import {
+  ColdGuard,
   createGatewayMetrics,
   EngineWork,
   limitOpening,
@@ -42,6 +43,13 @@
     log: { note: () => {}, request: () => {} },
     metrics: createGatewayMetrics(),
     work: new EngineWork({ clock, tell: () => {}, role: () => 'direct', listeners: () => 0 }),
+    cold: new ColdGuard({
+      clock,
+      self: 'box',
+      limitOf: () => undefined,
+      boxes: () => ({ version: 0, places: [] }),
+    }),
+    coldAfterReturn: () => 0,
     namesService: () => true,
     knowsFarWork: () => true,
     onGone: () => {},
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -138,6 +138,7 @@
           addressLifetime: 2_000,
           stopWithin: 7_000,
           retries: { ratio: 0.9, slack: 50, window: 10_000 },
+          coldOverage: { times: 1.5, slack: 5 },
           confidenceThreshold: 60,
         },
         identity,
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -203,6 +203,7 @@
       addressLifetime: 2_000,
       stopWithin: 7_000,
       retries: { ratio: 0.9, slack: 50, window: 10_000 },
+      coldOverage: { times: 1.5, slack: 5 },
       confidenceThreshold: 45,
     },
     identity: {
