--- a/packages/decisions/src/listing/textHomes.ts
+++ b/packages/decisions/src/listing/textHomes.ts
@@ -1,5 +1,5 @@
 import { hashText, mixHashes } from '../utils/rendezvousHash.js'
-import type { PromptWork, UpstreamCandidate } from './pickUpstream.js'
+import type { PromptWork, UpstreamCandidate } from './upstreamCandidate.js'
 
 /** Part of a text that its home keeps, and what it is worth. */
 const HOME_SHARE = 1
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -90,7 +90,7 @@
     onChange(next) {
       rollouts.takeOrders(next.orders)
       upstreams.evacuate(next.evacuated)
-      upstreams.reconsider()
+      upstreams.list.reconsider()
       options.onConfiguration(next)
     },
   })
@@ -154,7 +154,7 @@
     metrics,
     store,
     operators,
-    upstreams,
+    upstreams: upstreams.list,
     rollouts,
     isReader: () => !isWaitingForOthers() && rank() < READERS,
     boxCount: () => services.boxCount(),
@@ -182,10 +182,10 @@
           age: operators.age,
         },
       }),
-      ...(upstreams.version > 0 && {
+      ...(upstreams.list.version > 0 && {
         upstreams: {
-          revision: upstreams.version,
-          fingerprint: upstreams.fingerprint,
+          revision: upstreams.list.version,
+          fingerprint: upstreams.list.fingerprint,
           age: reader.listAge,
         },
       }),
@@ -199,9 +199,9 @@
       return 'known'
     },
     onUpstreamsProved({ revision, fingerprint }, provedAt) {
-      if (fingerprint !== upstreams.fingerprint)
-        return revision > upstreams.version ? 'wanted' : 'known'
-      upstreams.sameAt(revision)
+      if (fingerprint !== upstreams.list.fingerprint)
+        return revision > upstreams.list.version ? 'wanted' : 'known'
+      upstreams.list.sameAt(revision)
       reader.proveList(provedAt)
       return 'known'
     },
@@ -212,7 +212,7 @@
     },
     onUpstreams(entries, version, provedAt) {
       if (provedAt !== undefined) reader.proveList(provedAt)
-      if (upstreams.take(entries, version)) announce()
+      if (upstreams.list.take(entries, version)) announce()
     },
     onUpstreamsGone: runs => runs.filter(run => upstreams.takeGone(run)),
     onRollouts: statuses => rollouts.takeStatuses(statuses),
@@ -226,14 +226,14 @@
   })
 
   function currentUpstreams() {
-    const { version, listed } = upstreams
+    const { version, listed } = upstreams.list
     const age = reader.listAge
     return { version, entries: listed, ...(Number.isFinite(age) && { age }) }
   }
 
   /** The box serves as soon as it knows the configuration and the upstreams. */
   function beginToServe(): void {
-    if (state !== 'starting' || !operators.index || upstreams.version === 0) return
+    if (state !== 'starting' || !operators.index || upstreams.list.version === 0) return
     state = 'serving'
     log.note('serving', { after: Math.round(clock.now() - startedAt) })
   }
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -17,27 +17,11 @@
   type RunningExchange,
 } from './exchangeWithUpstream.js'
 import { TryAccount } from './tryAccount.js'
+import { TryLog } from './tryLog.js'
 
 /** The status of whoever is not the process that the request names. */
 export const MISDIRECTED = 421
 
-/** One try at an upstream, for the log. */
-interface TryRecord {
-  upstream: string
-  version: string
-  model?: string
-  /** When it began and ended, counted from the request's arrival. */
-  from: Milliseconds
-  to?: Milliseconds
-  outcome?: string
-  /** The model's own opinion of its answer. */
-  confidence?: number
-  /** When the first event came, counted from the request's arrival. */
-  firstEvent?: Milliseconds
-  /** The longest time between two pieces of the stream. */
-  longestPause?: Milliseconds
-}
-
 /** Time that is kept back for the way to the upstream and back. */
 const TIME_KEPT_BACK: Milliseconds = 8
 /** How long a request waits for a connection of an upstream to come free, as a share of its latency objective. */
@@ -53,7 +37,7 @@
   readonly tried: string[] = []
   readonly #tries: TryAccount
   isOver = false
-  readonly records: TryRecord[] = []
+  readonly #log: TryLog
   /** Versions that the request may run on: drawn once, so that all of its tries agree. */
   readonly admits: (version: string) => boolean
   /** The newest opinion that a model gave of its answer to this request. */
@@ -69,6 +53,7 @@
     readonly answer: CallerAnswer,
   ) {
     const { clock, rollouts, retries, metrics } = services
+    this.#log = new TryLog(clock, admitted.request.receivedAt)
     this.admits = rollouts.admission(admitted.service, admitted.fields.session)
     this.#tries = new TryAccount({
       clock,
@@ -166,14 +151,7 @@
     }
     this.tried.push(runOf(upstream.listed))
     this.#tries.noteSent()
-    const { id, version } = upstream.listed
-    const at = clock.now()
-    this.records.push({
-      upstream: id,
-      version,
-      ...(fields.model !== undefined && { model: fields.model }),
-      from: Math.round(at - request.receivedAt),
-    })
+    this.#log.begin(upstream.listed, fields.model)
     const exchange = exchangeWithUpstream(
       upstream,
       {
@@ -222,11 +200,7 @@
 
   /** Notes how a try ended, for the log and for the upstream's health. */
   noteTry(upstream: Upstream, outcome: ExchangeOutcome | undefined, detail: string): void {
-    const record = this.records.at(-1)
-    if (record) {
-      record.to = Math.round(this.services.clock.now() - this.admitted.request.receivedAt)
-      record.outcome = detail
-    }
+    this.#log.end(detail)
     if (outcome) this.services.upstreams.noteOutcome(upstream, outcome)
   }
 
@@ -253,20 +227,12 @@
   }
 
   noteConfidence(confidence: number): void {
-    const record = this.records.at(-1)
-    if (record) record.confidence = confidence
+    this.#log.confidence(confidence)
   }
 
   /** A piece of a stream came `pause` after the one before it, or is the first. */
   notePiece(pause: Milliseconds | undefined): void {
-    const record = this.records.at(-1)
-    if (!record) return
-    if (pause === undefined) {
-      const { clock } = this.services
-      record.firstEvent = Math.round(clock.now() - this.admitted.request.receivedAt)
-    } else if (pause > (record.longestPause ?? 0)) {
-      record.longestPause = Math.round(pause)
-    }
+    this.#log.piece(pause)
   }
 
   /** The upstream says that it did not run the request. */
@@ -306,7 +272,7 @@
     this.isOver = true
     this.#timer.cancel()
     this.#exchange?.cancel()
-    this.#log(outcome, status)
+    this.#writeLine(outcome, status)
     this.#onOver?.()
   }
 
@@ -323,8 +289,8 @@
     this.#onDeadline = callback
   }
 
-  #log(outcome: string, status: number | undefined): void {
-    const { services, admitted, records } = this
+  #writeLine(outcome: string, status: number | undefined): void {
+    const { services, admitted } = this
     const { request, fields, route, organisation } = admitted
     const duration = services.clock.now() - request.receivedAt
     const isFailure = outcome !== 'delivered'
@@ -341,7 +307,7 @@
         timeLeft: Math.round(this.timeLeft),
         configuration: services.operators.index?.configuration.revision,
         configurationAge: Math.round(services.operators.age),
-        tries: records,
+        tries: this.#log.records,
         sends: this.#tries.attempts,
       },
       isFailure,
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -4,7 +4,7 @@
 import type { EventLog, GatewayMetrics, Store } from '../types/ports.js'
 import type { OperatorTask } from './operatorTask.js'
 import type { RolloutTask } from './rolloutTask.js'
-import type { UpstreamDirectory } from './upstreamDirectory.js'
+import type { UpstreamListTask } from './upstreamListTask.js'
 
 export interface StoreReaderOptions {
   clock: Clock
@@ -12,7 +12,7 @@
   metrics: GatewayMetrics
   store: Store
   operators: OperatorTask
-  upstreams: UpstreamDirectory
+  upstreams: UpstreamListTask
   rollouts: RolloutTask
   /** Whether this box reads for all; the others read only when they hear nothing. */
   isReader(): boolean
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -1,19 +1,13 @@
 import {
   copySource,
   createExchangeHealth,
-  createUpstreamListState,
-  dropMissing,
   hashText,
   isEjected,
   noteGone,
   noteExchange,
-  noteListOutage,
-  noteListReturn,
   noteReachable,
   pickUpstream,
-  returnGraceEnd,
   runOf,
-  takeUpstreamList,
   type Clock,
   type ExchangeHealth,
   type ExchangeOutcome,
@@ -21,13 +15,13 @@
   type Milliseconds,
   type PromptWork,
   type Random,
-  type Timer,
   type UpstreamCandidate,
 } from '@yewkeel/decisions'
 import { UpstreamChannels } from '../node/upstreamChannels.js'
 import type { EventLog, GatewayMetrics } from '../types/ports.js'
 import type { ColdGuard } from './coldGuard.js'
 import type { EngineWork } from './engineWork.js'
+import { UpstreamListTask } from './upstreamListTask.js'
 
 /** An upstream that requests may be sent to. */
 export interface Upstream extends UpstreamCandidate {
@@ -57,8 +51,6 @@
   channelLimit: number
 }
 
-/** The fingerprint before the first list; hashes are never negative, so that even an empty list is news. */
-const NO_LIST = -1
 /** What an upstream told of its load says little after this. */
 const TOLD_LOAD_LIFETIME: Milliseconds = 1_500
 /** A box that heard no other upstream for this long may itself be cut off: it blames none for that. */
@@ -86,90 +78,19 @@
 
 /** The upstreams of the platform's list with what this box knows of each. */
 export class UpstreamDirectory {
-  readonly #list = createUpstreamListState()
+  /** What the platform's list says, as far as this box believes it. */
+  readonly list: UpstreamListTask
   readonly #upstreams = new Map<string, Upstream>()
-  #fingerprint = NO_LIST
-  #version = 0
-  #listed: readonly ListedUpstream[] = []
-  #graceTimer: Timer | undefined
   #evacuated: ReadonlySet<string> = new Set()
 
-  constructor(private readonly options: UpstreamDirectoryOptions) {}
-
-  /** Names the present content of the list: equal for equal lists. */
-  get fingerprint(): number {
-    return this.#fingerprint
-  }
-
-  /** The store's version when the list was read. 0 before the first. */
-  get version(): number {
-    return this.#version
-  }
-
-  /** The list as the store had it, without entries that are kept for a while. */
-  get listed(): ListedUpstream[] {
-    return [...this.#listed]
-  }
-
-  /** The same list was read at a later version. */
-  sameAt(version: number): void {
-    this.#version = Math.max(this.#version, version)
-  }
-
-  /** No box can have read the list for `age`. */
-  noteOutage(age: Milliseconds): void {
-    if (!this.#list.isStoreOut) this.options.log.note('list-lost', { age: Math.round(age) })
-    noteListOutage(this.#list)
-  }
-
-  /** The list was confirmed as it is after an outage. */
-  noteReturn(): void {
-    if (this.#list.isStoreOut) this.options.log.note('list-back', { version: this.#version })
-    noteListReturn(this.#list, this.options.clock.now())
-    this.#awaitGraceEnd()
-  }
-
-  /** Takes a whole list; an older one is passed over. True when it differs from the last one. */
-  take(listed: readonly ListedUpstream[], version: number): boolean {
-    if (version < this.#version) return false
-    const isFirst = this.#version === 0
-    this.#version = version
-    this.#listed = listed
-    if (isFirst) this.#noteFirstList()
-    this.#believe(isFirst)
-    const before = this.#fingerprint
-    this.#fingerprint = fingerprintOf(listed)
-    return before !== this.#fingerprint
-  }
-
-  /** The operators' configuration may name other services than before. */
-  reconsider(): void {
-    if (this.#version > 0) this.#believe(false)
-  }
-
-  #believe(isFirst: boolean): void {
-    const { clock, namesService } = this.options
-    const now = clock.now()
-    const named = this.#listed.filter(({ service }) => namesService(service))
-    for (const id of takeUpstreamList(this.#list, named, now)) this.#forget(id)
-    this.#awaitGraceEnd()
-    for (const entry of this.#list.entries.values()) this.#keep(entry, now, isFirst)
-  }
-
-  /**
-   * Entries that are kept after an outage go when their time is up, and not with the next list: boxes that do not read the list
-   * hear only that it is the same, and 28 of 30 kept an upstream that had left for as long as nothing else changed.
-   */
-  #awaitGraceEnd(): void {
-    const endsAt = returnGraceEnd(this.#list)
-    if (endsAt === undefined || this.#graceTimer) return
-    const { clock } = this.options
-    this.#graceTimer = clock.after(Math.max(0, endsAt - clock.now()), () => {
-      this.#graceTimer = undefined
-      const end = returnGraceEnd(this.#list)
-      if (end !== undefined && end <= clock.now())
-        for (const id of dropMissing(this.#list)) this.#forget(id)
-      else this.#awaitGraceEnd()
+  constructor(private readonly options: UpstreamDirectoryOptions) {
+    const { clock, log, namesService } = options
+    this.list = new UpstreamListTask({
+      clock,
+      log,
+      namesService,
+      onEntry: (entry, isFirst) => this.#keep(entry, isFirst),
+      onGone: id => this.#forget(id),
     })
   }
 
@@ -350,7 +271,8 @@
     return count === 0 ? 0 : sum / count
   }
 
-  #keep(entry: ListedUpstream, now: Milliseconds, isFirst: boolean): void {
+  #keep(entry: ListedUpstream, isFirst: boolean): void {
+    const now = this.options.clock.now()
     const known = this.#upstreams.get(entry.id)
     if (!known) {
       const channels = new UpstreamChannels(entry.address, this.options.clock)
@@ -380,14 +302,6 @@
     known.listed = entry
   }
 
-  /** One line for all: 98 lines took a starting box 1 ms longer, and all that its log may say in a second. */
-  #noteFirstList(): void {
-    const upstreams = this.#listed.map(({ id, service, version, address, state }) =>
-      [id, service, version, address, state].join(' '),
-    )
-    this.options.log.note('upstreams-listed', { version: this.#version, upstreams })
-  }
-
   #forget(id: string): void {
     const known = this.#upstreams.get(id)
     if (!known) return
@@ -402,11 +316,3 @@
   if (!told || now - told.at > TOLD_LOAD_LIFETIME) return inFlight
   return inFlight + Math.max(0, told.load - told.own)
 }
-
-function fingerprintOf(entries: readonly ListedUpstream[]): number {
-  const parts = entries.map(entry => {
-    const warmth = entry.coldFor === undefined ? 'warm' : 'cold'
-    return [runOf(entry), entry.state, entry.address, warmth].join(' ')
-  })
-  return hashText(parts.sort().join('\n'))
-}
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -420,17 +420,17 @@
     expect(operators.take({ ...before, revision: 5 })).to.equal(true)
     expect(operators.take(before)).to.equal(false)
     expect(operators.state.revision).to.equal(5)
-    upstreams.take([], 9)
-    expect(upstreams.take(running.store.upstreams, 8)).to.equal(false)
-    expect(upstreams.listed).to.deep.equal([])
+    upstreams.list.take([], 9)
+    expect(upstreams.list.take(running.store.upstreams, 8)).to.equal(false)
+    expect(upstreams.list.listed).to.deep.equal([])
   })
 
   it('keeps an upstream listed by peers from coming back with what one box kept through its own cut', async () => {
     const running = await start([await startUpstream('u1', ok)], {})
     const { upstreams } = running.gateway.services
-    upstreams.noteOutage(3_000)
-    upstreams.take([], 9)
+    upstreams.list.noteOutage(3_000)
+    upstreams.list.take([], 9)
     // It may still be used for a moment here, but others are told of the store's list alone.
-    expect(upstreams.listed).to.deep.equal([])
+    expect(upstreams.list.listed).to.deep.equal([])
   })
 })
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -55,7 +55,7 @@
     onGone: () => {},
     onUnreachable: upstream => void unreachable.push(upstream.listed.id),
   })
-  directory.take([listed('one'), listed('two')], 1)
+  directory.list.take([listed('one'), listed('two')], 1)
   const query = { service: 'pool', admits: () => true, bodyBytes: 0, channelLimit: 9 }
   const pick = (tried: string[]) => directory.pick({ ...query, tried })!
   return { directory, unreachable, pick, one: pick(['two']), two: pick(['one']) }
