The entry is open before the program is loaded, and is read from once the box is ready

Ruled out: flags of the runtime (its own start is 105 ms of processor time with any of eight tried); fewer built-in modules (4 ms).

--- a/packages/gateway/src/node/entryServer.ts
+++ b/packages/gateway/src/node/entryServer.ts
@@ -1,12 +1,22 @@
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo, Server as ConnectionServer, Socket } from 'node:net'
 import { splitAddress } from '@yewkeel/box'
-import type { Clock, Milliseconds } from '@yewkeel/decisions'
+import { sleep, type Clock, type Milliseconds } from '@yewkeel/decisions'
 import type { CallerAnswer, CallerRequest } from '../types/ports.js'
 
+/** An entry that was opened before the program was loaded. Its connections have not been read from. */
+export interface OpenedEntry {
+  server: ConnectionServer
+  waiting: Socket[]
+}
+
 export interface EntryServerOptions {
   /** `host:port`; port 0 takes any free one. */
   listen: string
+  /** Serves its callers in place of opening another. */
+  opened?: OpenedEntry
+  /** Callers of an opened entry wait for this, though not for long. */
+  isReady(): boolean
   clock: Clock
   bodyBytes(): number
   handle(request: CallerRequest, answer: CallerAnswer): void
@@ -45,13 +55,11 @@
   server.requestTimeout = 0
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT
   server.on('clientError', (_error, socket) => socket.destroy())
-  const { host, port } = splitAddress(options.listen)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve)
-  })
+  if (options.opened) void takeOver(server, options.opened, options)
+  else await listen(server, options.listen)
+  const address = (options.opened?.server ?? server).address() as AddressInfo
   return {
-    address: `${host}:${(server.address() as AddressInfo).port}`,
+    address: `${address.address}:${address.port}`,
     get open() {
       return open
     },
@@ -68,6 +76,36 @@
   }
 }
 
+function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address)
+  return new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve)
+  })
+}
+
+/** Serves the callers of an opened entry once the box can: a request that was read before would be refused. */
+async function takeOver(
+  server: Server,
+  opened: OpenedEntry,
+  { clock, isReady }: EntryServerOptions,
+): Promise<void> {
+  const until = clock.now() + READY_WITHIN
+  while (!isReady() && clock.now() < until) await sleep(clock, LOOK_AGAIN)
+  await new Promise<void>(resolve => server.listen(opened.server, resolve))
+  for (const socket of opened.waiting.splice(0)) {
+    server.emit('connection', socket)
+    socket.resume()
+  }
+}
+
+/**
+ * A box that has its platform is ready some 20 ms after it was loaded. Callers leave a box that has not read from them for a
+ * second, so those that waited since it was opened still get the refusal.
+ */
+const READY_WITHIN: Milliseconds = 400
+const LOOK_AGAIN: Milliseconds = 5
+
 async function serve(
   message: IncomingMessage,
   response: ServerResponse,
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -5,7 +5,7 @@
 import type { GatewayMessage } from '../types/gossip.js'
 import type { Dialect, EventLog, Store } from '../types/ports.js'
 import type { GatewaySettings } from '../types/settings.js'
-import { startEntryServer, type EntryServer } from './entryServer.js'
+import { startEntryServer, type EntryServer, type OpenedEntry } from './entryServer.js'
 import { createGatewayMetrics } from './gatewayMetrics.js'
 
 /** What callers are told about where to connect. */
@@ -22,6 +22,8 @@
   log: EventLog
   dialect: Dialect
   store: Store
+  /** The entry, where it was opened before the program was loaded. */
+  openedEntry?: OpenedEntry
   /** Reads a caller's question for addresses: undefined if it is none, else the data centre it names. */
   readDirectoryQuery(target: string): { dataCentre?: string } | undefined
   writeDirectoryAnswer(answer: DirectoryAnswer): string
@@ -79,6 +81,8 @@
   })
   const entry = await startEntryServer({
     listen: settings.listen.entry,
+    ...(options.openedEntry && { opened: options.openedEntry }),
+    isReady: () => gateway.isReady(),
     clock,
     bodyBytes: () =>
       gateway.services.operators.index?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES,
--- /dev/null
+++ b/packages/gateway/test/entryServer.test.ts
@@ -0,0 +1,88 @@
+import { connect, createServer, type AddressInfo } from 'node:net'
+import { expect } from 'chai'
+import { ManualClock } from '@yewkeel/decisions'
+import { startEntryServer, type EntryServer, type OpenedEntry } from '../src/index.js'
+
+const REQUEST = 'GET /desk/1 HTTP/1.1\r\nhost: desk.example\r\n\r\n'
+
+/** An entry as it is opened before the program is loaded. */
+async function openEntry(): Promise<OpenedEntry> {
+  const waiting: OpenedEntry['waiting'] = []
+  const server = createServer({ pauseOnConnect: true }, socket => waiting.push(socket))
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return { server, waiting }
+}
+
+/** A caller that sends one request and keeps what comes back. */
+function call(port: number) {
+  const caller = { text: '', isClosed: false, end: () => void socket.destroy() }
+  const socket = connect(port, '127.0.0.1', () => socket.write(REQUEST))
+  socket.on('data', bytes => (caller.text += bytes.toString()))
+  socket.on('close', () => (caller.isClosed = true))
+  return caller
+}
+
+describe('an entry that was opened before the program', () => {
+  let entry: EntryServer
+  let opened: OpenedEntry
+  let clock: ManualClock
+  let isReady: boolean
+  let isHandled: boolean[]
+
+  async function until(condition: () => boolean): Promise<void> {
+    for (let turn = 0; turn < 20_000 && !condition(); turn++)
+      await new Promise<void>(resolve => setImmediate(resolve))
+    if (!condition()) throw new Error('what was waited for did not come about')
+  }
+
+  beforeEach(async () => {
+    clock = new ManualClock()
+    isReady = false
+    isHandled = []
+    opened = await openEntry()
+  })
+  afterEach(() => entry.close())
+
+  async function start(): Promise<number> {
+    entry = await startEntryServer({
+      listen: '127.0.0.1:0',
+      opened,
+      clock,
+      isReady: () => isReady,
+      bodyBytes: () => 1_000,
+      handle(_request, answer) {
+        isHandled.push(isReady)
+        answer.start(200, ['content-length', '4'], true)
+        answer.end('done')
+      },
+    })
+    return (opened.server.address() as AddressInfo).port
+  }
+
+  it('answers those that came before, and those that come later, once the box is ready', async () => {
+    const { port } = opened.server.address() as AddressInfo
+    const early = call(port)
+    await until(() => opened.waiting.length === 1)
+    expect(await start()).to.equal(Number(entry.address.split(':')[1]))
+    await clock.advance(200)
+    expect(early.text).to.equal('')
+    isReady = true
+    await clock.advance(10)
+    await until(() => early.text.endsWith('done'))
+    const later = call(port)
+    await until(() => later.text.endsWith('done'))
+    expect(isHandled).to.eql([true, true])
+    entry.closeIdle()
+    await until(() => early.isClosed && later.isClosed)
+  })
+
+  it('reads from them although the box is not ready when that takes long: they are refused and may go elsewhere', async () => {
+    const early = call(await start())
+    await until(() => opened.waiting.length === 1)
+    await clock.advance(390)
+    expect(isHandled).to.eql([])
+    await clock.advance(20)
+    await until(() => early.text.endsWith('done'))
+    expect(isHandled).to.eql([false])
+  })
+})
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -224,6 +224,7 @@
   })
   const entry = await startEntryServer({
     listen: '127.0.0.1:0',
+    isReady: () => gateway.isReady(),
     clock,
     bodyBytes: () => content.limits.bodyBytes,
     handle: (request, answer) => gateway.handle(request, answer),
