--- a/packages/soak/src/node/main.ts
+++ b/packages/soak/src/node/main.ts
@@ -6,7 +6,7 @@
 import { runSeed, type SeedOptions, type SeedResult } from '../runSeed.js'
 
 const PROGRAM = fileURLToPath(
-  new URL('../../../../../target/yewkeel-platform.cjs', import.meta.url),
+  new URL('../../../../../platform/bundle/start.cjs', import.meta.url),
 )
 const REGRESSIONS = fileURLToPath(new URL('../../../regressions.json', import.meta.url))
 const RANGE = /^(\d+)(?:-(\d+))?$/
