--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -11,7 +11,7 @@
 import { probeConnection } from './node/connectInTime.js'
 import { handleCaller } from './requests/handleCaller.js'
 import { StallWatch } from './requests/stallWatch.js'
-import { ColdGuard, coldAfterReturn } from './tasks/coldGuard.js'
+import { ColdGuard } from './tasks/coldGuard.js'
 import { EngineWork } from './tasks/engineWork.js'
 import { EntryTask } from './tasks/entryTask.js'
 import { OperatorTask } from './tasks/operatorTask.js'
@@ -103,11 +103,8 @@
   const cold: ColdGuard = new ColdGuard({
     clock,
     self: identity.box,
-    limitOf(service) {
-      const { perSecond } = operators.index?.service(service)?.cold ?? {}
-      const { times, slack } = settings.coldOverage
-      return perSecond === undefined ? undefined : { perSecond, most: perSecond * times + slack }
-    },
+    startOf: service => operators.index?.service(service)?.cold,
+    overage: () => settings.coldOverage,
     boxes: () => peers.places,
   })
   const upstreams: UpstreamDirectory = new UpstreamDirectory({
@@ -118,10 +115,6 @@
     metrics,
     work,
     cold,
-    coldAfterReturn(service) {
-      const start = operators.index?.service(service)?.cold
-      return start ? coldAfterReturn(start.lasts) : 0
-    },
     namesService: name =>
       operators.index === undefined || operators.index.service(name) !== undefined,
     knowsFarWork: () => peers.isMesh,
--- a/packages/gateway/src/tasks/coldGuard.ts
+++ b/packages/gateway/src/tasks/coldGuard.ts
@@ -3,19 +3,22 @@
   coldShareOf,
   type BoxPlace,
   type Clock,
-  type ColdLimit,
   type ColdShare,
+  type ColdStart,
   type Milliseconds,
 } from '@yewkeel/decisions'
+import type { GatewayLimits } from '../types/settings.js'
 import type { Upstream } from './upstreamDirectory.js'
 
 export interface ColdGuardOptions {
   clock: Clock
   /** This box's name. */
   self: string
-  /** What a cold upstream of a service bears; undefined where it bears as much as a warm one. */
-  limitOf(service: string): ColdLimit | undefined
-  /** The boxes that are entered, this one among them; none until the entries are known. Rises with each change: `version`. */
+  /** How upstreams of a service are after their start; undefined where they bear as much as later. */
+  startOf(service: string): ColdStart | undefined
+  /** What a cold upstream may get beyond what it bears. */
+  overage(): GatewayLimits['coldOverage']
+  /** The boxes that are entered, this one among them; none until the entries are known. `version` rises with each change. */
   boxes(): { version: number; places: readonly BoxPlace[] }
 }
 
@@ -25,6 +28,12 @@
   isSender: boolean
 }
 
+/**
+ * An upstream writes its entry every 1.2 s, the list is read as often, and what changed is told within half a second: with this,
+ * a cold start of 3 s lasts until the entry has spoken.
+ */
+const ENTRY_LAG: Milliseconds = 1_000
+
 /** Holds this box to its share of what cold upstreams bear. Warm ones are not held back. */
 export class ColdGuard {
   readonly #drawn = new WeakMap<Upstream, Drawn>()
@@ -45,11 +54,21 @@
     return !share || this.#isSender(upstream, share)
   }
 
+  /** It was away, and may be cold although its newest entry does not say so. */
+  suspect(upstream: Upstream): void {
+    const start = this.options.startOf(upstream.listed.service)
+    if (!start) return
+    const until = this.options.clock.now() + start.lasts + ENTRY_LAG
+    upstream.coldUntil = Math.max(upstream.coldUntil, until)
+  }
+
   /** Undefined while it is warm. */
   #shareOf(upstream: Upstream): ColdShare | undefined {
     if (this.options.clock.now() >= upstream.coldUntil) return undefined
-    const limit = this.options.limitOf(upstream.listed.service)
-    return limit && coldShareOf(limit)
+    const start = this.options.startOf(upstream.listed.service)
+    if (!start) return undefined
+    const { times, slack } = this.options.overage()
+    return coldShareOf({ perSecond: start.perSecond, most: start.perSecond * times + slack })
   }
 
   #isSender(upstream: Upstream, share: ColdShare): boolean {
@@ -62,14 +81,3 @@
     return isSender
   }
 }
-
-/** How long an upstream may be cold that has been away, before its entry says whether it is. */
-export function coldAfterReturn(startsWithin: Milliseconds): Milliseconds {
-  return startsWithin + ENTRY_LAG
-}
-
-/**
- * An upstream writes its entry every 1.2 s, the list is read as often, and what changed is told within half a second: together
- * that is as long as a cold start, so that the entry mostly speaks before this is over.
- */
-const ENTRY_LAG: Milliseconds = 1_000
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -64,8 +64,6 @@
   metrics: GatewayMetrics
   work: EngineWork
   cold: ColdGuard
-  /** How long an upstream of a service may be cold after it was away, as far as its entry does not say. */
-  coldAfterReturn(service: string): Milliseconds
   /** Whether the operators' configuration names the service. Of any other no entry counts, not even at its address. */
   namesService(service: string): boolean
   /** Whether the boxes of other data centres tell this one what they have sent to upstreams. */
@@ -100,17 +98,11 @@
     this.#evacuated = new Set(dataCentres)
     for (const upstream of this.#upstreams.values()) {
       const { dataCentre } = upstream.listed
-      if (before.has(dataCentre) && !this.#evacuated.has(dataCentre)) this.#suspectCold(upstream)
+      if (before.has(dataCentre) && !this.#evacuated.has(dataCentre))
+        this.options.cold.suspect(upstream)
     }
   }
 
-  /** It has been away, and may be cold although its newest entry does not say so. */
-  #suspectCold(upstream: Upstream): void {
-    const { clock, coldAfterReturn } = this.options
-    const until = clock.now() + coldAfterReturn(upstream.listed.service)
-    upstream.coldUntil = Math.max(upstream.coldUntil, until)
-  }
-
   /** A request is about to be sent there. */
   noteChosen(upstream: Upstream): void {
     upstream.lastSentAt = this.options.clock.now()
@@ -221,7 +213,7 @@
   /** An upstream that could not be reached answers again. */
   noteReturned(upstream: Upstream): void {
     noteReachable(upstream.health)
-    this.#suspectCold(upstream)
+    this.options.cold.suspect(upstream)
     const { id, service } = upstream.listed
     this.options.log.note('upstream-reachable', { upstream: id, service })
   }
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -46,10 +46,10 @@
     cold: new ColdGuard({
       clock,
       self: 'box',
-      limitOf: () => undefined,
+      startOf: () => undefined,
+      overage: () => ({ times: 1, slack: 0 }),
       boxes: () => ({ version: 0, places: [] }),
     }),
-    coldAfterReturn: () => 0,
     namesService: () => true,
     knowsFarWork: () => true,
     onGone: () => {},
