A version that was rolled back gets nothing more, whatever is ordered next

Cause: beside a new target every other version was admitted, also one that had been rolled back a moment before and whose upstreams still served, so that requests of a session ran on both by turns, and a bad version went on answering. Change: the state of a roll-out carries the versions that earlier ones rolled back; they are admitted only where nothing else is left.

--- a/packages/decisions/src/rollouts/rollout.ts
+++ b/packages/decisions/src/rollouts/rollout.ts
@@ -19,6 +19,8 @@
   state: RolloutState
   /** When it began, on the store's clock. */
   startedAt: Milliseconds
+  /** Versions that earlier roll-outs of the service rolled back. Their upstreams serve for some seconds more. */
+  rejected?: readonly string[]
   /** Of the row that holds the status; a writer names the one that it has seen. */
   revision: number
 }
@@ -28,6 +30,19 @@
   return status !== undefined && status.target === order.target && status.revision > order.revision
 }
 
+/** Versions that may serve no more, whatever is ordered next: those that were rolled back, and were not ordered again. */
+export function rejectedVersions(
+  status: RolloutStatus | undefined,
+  order?: RolloutOrder,
+): readonly string[] {
+  if (!status) return []
+  const earlier = status.rejected ?? []
+  const isPast = !order || !isOf(status, order)
+  const rejected =
+    status.state === 'rolled-back' && isPast ? [...earlier, status.target] : [...earlier]
+  return [...new Set(rejected)].filter(version => version !== order?.target)
+}
+
 /** Share of requests that a version without a history gets, while its answers are judged. */
 export const TRIAL_SHARE = 0.08
 /** Sessions may move between versions only past half of the time; a little later on every box's clock. */
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -4,6 +4,7 @@
   isOf,
   isVersionBad,
   keepsSessions,
+  rejectedVersions,
   targetShare,
   type AnswerCount,
   type Clock,
@@ -142,22 +143,30 @@
     const isTarget = goesToTarget(shares, request, this.options.random)
     const versions = this.options.upstreams.readyVersions(service)
     const hasTarget = versions.has(order.target)
-    const hasOthers = versions.size > (hasTarget ? 1 : 0)
+    const others = [...versions.keys()].filter(version => version !== order.target)
+    const rejected = rejectedVersions(status, order)
+    const sound = others.filter(version => !rejected.includes(version))
+    const hasOthers = others.length > 0
     if (isTarget ? hasTarget : !hasOthers && shares.share > 0)
       return version => version === order.target
     if (status && isOf(status, order) && status.state === 'completed' && hasTarget)
       return version => version === order.target
-    return version => version !== order.target
+    // Where nothing else is left a version that was rolled back serves rather than none.
+    if (sound.length === 0) return version => version !== order.target
+    return version => version !== order.target && !rejected.includes(version)
   }
 
   /** A version that came up without an order waits for one, as long as an established one serves. */
   #admitEstablished(service: string): (version: string) => boolean {
     const versions = this.options.upstreams.readyVersions(service)
     const established = this.#established.get(service) ?? new Set(versions.keys())
+    const rejected = rejectedVersions(this.#statuses.get(service))
+    const sound = [...versions.keys()].filter(version => !rejected.includes(version))
     const isServed = [...established].some(version => versions.has(version))
     if (!isServed) for (const version of versions.keys()) established.add(version)
     if (established.size > 0) this.#established.set(service, established)
-    return version => established.has(version)
+    if (!sound.some(version => established.has(version))) return version => established.has(version)
+    return version => established.has(version) && !rejected.includes(version)
   }
 
   /** Counts an answer. `begin`: how it began, for one that did. */
@@ -245,7 +254,8 @@
     const { store, log } = this.options
     const startedAt = status && isOf(status, order) ? status.startedAt : storeNow
     try {
-      const next = { service, target, state, startedAt }
+      const rejected = rejectedVersions(status, order)
+      const next = { service, target, state, startedAt, rejected }
       const outcome = await store.writeRollout(next, status?.revision ?? 0)
       const answers = this.options.allAnswers().filter(count => count.service === service)
       log.note('rollout-written', { ...next, outcome, answers })
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -55,7 +55,9 @@
   readRollouts(): Promise<StoreRead<readonly RolloutStatus[]>>
   /** Writes a status if that of the service is still at `expectedRevision`; 0 for none yet. */
   writeRollout(
-    status: Pick<RolloutStatus, 'service' | 'target' | 'startedAt'> & { state: RolloutState },
+    status: Pick<RolloutStatus, 'rejected' | 'service' | 'startedAt' | 'target'> & {
+      state: RolloutState
+    },
     expectedRevision: number,
   ): Promise<WriteOutcome>
   readBoxes(): Promise<readonly BoxEntry[]>
--- a/packages/soak/src/node/main.ts
+++ b/packages/soak/src/node/main.ts
@@ -5,9 +5,7 @@
 import { defineCommand, runMain } from 'citty'
 import { runSeed, type SeedOptions, type SeedResult } from '../runSeed.js'
 
-const PROGRAM = fileURLToPath(
-  new URL('../../../../../platform/bundle/start.cjs', import.meta.url),
-)
+const PROGRAM = fileURLToPath(new URL('../../../../../platform/bundle/start.cjs', import.meta.url))
 const REGRESSIONS = fileURLToPath(new URL('../../../regressions.json', import.meta.url))
 const RANGE = /^(\d+)(?:-(\d+))?$/
 
