--- a/packages/decisions/src/listing/coldUpstreams.ts
+++ b/packages/decisions/src/listing/coldUpstreams.ts
@@ -41,7 +41,7 @@
 /** Keeps the last request of a second's worth out of that second. */
 const INTERVAL_MARGIN = 1.02
 
-/** The share of each box; none where the limit is too small to be shared. */
+/** How the boxes share a limit: one box alone sends where it is too small for more. */
 export function coldShareOf({ perSecond, most }: ColdLimit): ColdShare {
   const senders = Math.max(1, Math.min(MOST_SENDERS, Math.floor(most / VIEWS)))
   const each = Math.max(1, Math.floor(most / (VIEWS * senders)))
--- a/packages/decisions/src/listing/exchangeHealth.ts
+++ b/packages/decisions/src/listing/exchangeHealth.ts
@@ -20,8 +20,7 @@
   /** Ejected until it answers again, however long that takes. */
   isUnreachable: boolean
   /**
-   * Another process answers at its address. It never returns under its name, so it is asked no more even where there is no
-   * other: of 20 requests while ten upstreams were such, 77 arrived in place of 10 (played on loopback).
+   * Another process answers at its address. This run never returns, so it is asked no more even where there is no other: of 20 requests while ten upstreams were such, 77 arrived in place of 10 (played on loopback).
    */
   isGone: boolean
 }
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -2,7 +2,6 @@
 import {
   createConfidenceGains,
   createRetryShares,
-  runOf,
   type Clock,
   type Milliseconds,
   type Random,
@@ -105,7 +104,8 @@
     self: identity.box,
     startOf: service => operators.index?.service(service)?.cold,
     overage: () => settings.coldOverage,
-    boxes: () => peers.places,
+    boxesVersion: () => peers.entriesVersion,
+    boxes: () => peers.places(),
   })
   const upstreams: UpstreamDirectory = new UpstreamDirectory({
     clock,
@@ -122,7 +122,7 @@
       services.stalls.giveUpOn(upstream)
       reachability.awaitReturn(upstream)
     },
-    onGone: ({ listed }) => peers.tellGone([runOf(listed)]),
+    onGone: ({ run }) => peers.tellGone([run]),
   })
   const reachability = new ReachabilityWatch({
     clock,
--- a/packages/gateway/src/node/entryServer.ts
+++ b/packages/gateway/src/node/entryServer.ts
@@ -1,8 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Server as ConnectionServer, Socket } from 'node:net'
-import { splitAddress } from '@yewkeel/box'
 import { sleep, type Clock, type Milliseconds } from '@yewkeel/decisions'
 import type { CallerAnswer, CallerRequest } from '../types/ports.js'
+import { listenOn } from './listenOn.js'
 
 /** An entry that was opened before the program was loaded. Its connections have not been read from. */
 export interface OpenedEntry {
@@ -56,7 +56,7 @@
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT
   server.on('clientError', (_error, socket) => socket.destroy())
   if (options.opened) void takeOver(server, options.opened, options)
-  else await listen(server, options.listen)
+  else await listenOn(server, options.listen, { backlog: LISTEN_BACKLOG })
   const address = (options.opened?.server ?? server).address() as AddressInfo
   return {
     address: `${address.address}:${address.port}`,
@@ -76,14 +76,6 @@
   }
 }
 
-function listen(server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address)
-  return new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve)
-  })
-}
-
 /** Serves the callers of an opened entry once the box can: a request that was read before would be refused. */
 async function takeOver(
   server: Server,
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server, type ServerResponse } from 'node:http'
-import { splitAddress, WsTransport, type Log, type PeerIdentity } from '@yewkeel/box'
+import { WsTransport, type Log, type PeerIdentity } from '@yewkeel/box'
 import { sleep, type Clock, type Milliseconds, type Random } from '@yewkeel/decisions'
 import { createGateway, type Gateway } from '../createGateway.js'
 import type { GatewayMessage } from '../types/gossip.js'
@@ -7,6 +7,7 @@
 import type { GatewaySettings } from '../types/settings.js'
 import { startEntryServer, type EntryServer, type OpenedEntry } from './entryServer.js'
 import { createGatewayMetrics } from './gatewayMetrics.js'
+import { listenOn } from './listenOn.js'
 
 /** What callers are told about where to connect. */
 export interface DirectoryAnswer {
@@ -167,11 +168,7 @@
   handle: (target: string, response: ServerResponse) => void,
 ): Promise<Server> {
   const server = createServer((request, response) => handle(request.url ?? '/', response))
-  const { host, port } = splitAddress(listen)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, resolve)
-  })
+  await listenOn(server, listen)
   return server
 }
 
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -1,6 +1,5 @@
 import {
   retryShareOf,
-  runOf,
   type ExchangeOutcome,
   type Milliseconds,
   type PromptWork,
@@ -149,7 +148,7 @@
       ...fields,
       urgency: urgencyOf(organisation?.priority ?? 0, route.priority),
     }
-    this.tried.push(runOf(upstream.listed))
+    this.tried.push(upstream.run)
     this.#tries.noteSent()
     this.#log.begin(upstream.listed, fields.model)
     const exchange = exchangeWithUpstream(
--- a/packages/gateway/src/tasks/coldGuard.ts
+++ b/packages/gateway/src/tasks/coldGuard.ts
@@ -18,8 +18,10 @@
   startOf(service: string): ColdStart | undefined
   /** What a cold upstream may get beyond what it bears. */
   overage(): GatewayLimits['coldOverage']
-  /** The boxes that are entered, this one among them; none until the entries are known. `version` rises with each change. */
-  boxes(): { version: number; places: readonly BoxPlace[] }
+  /** Rises with each change of the boxes. */
+  boxesVersion(): number
+  /** The boxes that are entered, this one among them; none until the entries are known. */
+  boxes(): readonly BoxPlace[]
 }
 
 /** Whether this box is one of those that send to a cold upstream, as of one version of the boxes. */
@@ -40,17 +42,17 @@
 
   constructor(private readonly options: ColdGuardOptions) {}
 
-  /** Whether the upstream may be sent a request now. */
-  admits(upstream: Upstream): boolean {
-    const share = this.#shareOf(upstream)
+  /** Whether the upstream may be sent a request now. The caller reads the clock once for all that it compares. */
+  admits(upstream: Upstream, now: Milliseconds): boolean {
+    const share = this.#shareOf(upstream, now)
     if (!share) return true
     if (!this.#isSender(upstream, share)) return false
-    return this.options.clock.now() - upstream.lastSentAt >= share.interval
+    return now - upstream.lastSentAt >= share.interval
   }
 
   /** Whether it may be sent one now or in a moment. */
-  admitsSoon(upstream: Upstream): boolean {
-    const share = this.#shareOf(upstream)
+  admitsSoon(upstream: Upstream, now: Milliseconds): boolean {
+    const share = this.#shareOf(upstream, now)
     return !share || this.#isSender(upstream, share)
   }
 
@@ -63,8 +65,8 @@
   }
 
   /** Undefined while it is warm. */
-  #shareOf(upstream: Upstream): ColdShare | undefined {
-    if (this.options.clock.now() >= upstream.coldUntil) return undefined
+  #shareOf(upstream: Upstream, now: Milliseconds): ColdShare | undefined {
+    if (now >= upstream.coldUntil) return undefined
     const start = this.options.startOf(upstream.listed.service)
     if (!start) return undefined
     const { times, slack } = this.options.overage()
@@ -72,11 +74,12 @@
   }
 
   #isSender(upstream: Upstream, share: ColdShare): boolean {
-    const { version, places } = this.options.boxes()
+    const { self, boxesVersion, boxes } = this.options
+    const version = boxesVersion()
     const known = this.#drawn.get(upstream)
     if (known?.version === version) return known.isSender
-    const senders = coldSenders(upstream.nameHash, upstream.listed.dataCentre, places, share)
-    const isSender = senders.some(({ box }) => box === this.options.self)
+    const senders = coldSenders(upstream.nameHash, upstream.listed.dataCentre, boxes(), share)
+    const isSender = senders.some(({ box }) => box === self)
     this.#drawn.set(upstream, { version, isSender })
     return isSender
   }
--- a/packages/gateway/src/tasks/operatorTask.ts
+++ b/packages/gateway/src/tasks/operatorTask.ts
@@ -23,7 +23,6 @@
   #state: OperatorState = { revision: 0, fingerprint: NO_STATE, orders: [], evacuated: [] }
   #index: RouteIndex | undefined
   readonly #proof: Confirmation = {}
-  #evacuated: readonly string[] = []
 
   constructor(private readonly options: OperatorTaskOptions) {}
 
@@ -51,6 +50,7 @@
     const current = this.#index?.configuration.revision ?? -1
     const offered = state.configuration
     if (offered && offered.revision < current) return false
+    const { evacuated } = this.#state
     this.#state = state
     if (offered && offered.revision > current) {
       this.#index = createRouteIndex(offered)
@@ -61,7 +61,7 @@
         organisations: offered.organisations?.length,
       })
     }
-    this.#noteEvacuations(state.evacuated)
+    this.#noteEvacuations(evacuated, state.evacuated)
     this.options.onChange(state)
     return true
   }
@@ -77,10 +77,8 @@
     if (revision > this.#state.revision) this.#state = { ...this.#state, revision }
   }
 
-  #noteEvacuations(evacuated: readonly string[]): void {
-    const before = this.#evacuated
-    this.#evacuated = evacuated
-    if (evacuated.join() !== before.join())
-      this.options.log.note('evacuated', { dataCentres: evacuated, before })
+  #noteEvacuations(before: readonly string[], dataCentres: readonly string[]): void {
+    if (dataCentres.join() !== before.join())
+      this.options.log.note('evacuated', { dataCentres, before })
   }
 }
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -113,7 +113,6 @@
   readonly #goneToTell: string[] = []
   #toldHearsayAt = -Infinity
   #drawn: Circle | undefined
-  #placed: { version: number; hasEntries: boolean; places: readonly BoxPlace[] } | undefined
 
   readonly #handlers: MessageHandlers = {
     gossip: (from, message) => this.#hearGossip(from, message),
@@ -171,16 +170,16 @@
     return this.#known.hasEntries
   }
 
+  /** Rises with every change of the entries. */
+  get entriesVersion(): number {
+    return this.#known.version
+  }
+
   /** The boxes that are entered, this one among them; none until the entries were read. */
-  get places(): { version: number; places: readonly BoxPlace[] } {
-    const { version, entries, hasEntries } = this.#known
-    if (this.#placed?.version === version && this.#placed.hasEntries === hasEntries)
-      return this.#placed
+  places(): BoxPlace[] {
+    const { entries, hasEntries } = this.#known
     const { self } = this.options
-    const others = entries.filter(({ box }) => box !== self.box)
-    const places = hasEntries ? [...others, self] : []
-    this.#placed = { version, hasEntries, places }
-    return this.#placed
+    return hasEntries ? [...entries.filter(({ box }) => box !== self.box), self] : []
   }
 
   /** Boxes among the entries that have been silent for long. */
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -145,15 +145,12 @@
     const hasTarget = versions.has(order.target)
     const others = [...versions.keys()].filter(version => version !== order.target)
     const rejected = rejectedVersions(status, order)
-    const sound = others.filter(version => !rejected.includes(version))
     const hasOthers = others.length > 0
     if (isTarget ? hasTarget : !hasOthers && shares.share > 0)
       return version => version === order.target
     if (status && isOf(status, order) && status.state === 'completed' && hasTarget)
       return version => version === order.target
-    // Where nothing else is left a version that was rolled back serves rather than none.
-    if (sound.length === 0) return version => version !== order.target
-    return version => version !== order.target && !rejected.includes(version)
+    return withoutRejected(rejected, version => version !== order.target, versions.keys())
   }
 
   /** A version that came up without an order waits for one, as long as an established one serves. */
@@ -161,12 +158,10 @@
     const versions = this.options.upstreams.readyVersions(service)
     const established = this.#established.get(service) ?? new Set(versions.keys())
     const rejected = rejectedVersions(this.#statuses.get(service))
-    const sound = [...versions.keys()].filter(version => !rejected.includes(version))
     const isServed = [...established].some(version => versions.has(version))
     if (!isServed) for (const version of versions.keys()) established.add(version)
     if (established.size > 0) this.#established.set(service, established)
-    if (!sound.some(version => established.has(version))) return version => established.has(version)
-    return version => established.has(version) && !rejected.includes(version)
+    return withoutRejected(rejected, version => established.has(version), versions.keys())
   }
 
   /** Counts an answer. `begin`: how it began, for one that did. */
@@ -268,6 +263,16 @@
   }
 }
 
+/** Where nothing else is left a version that was rolled back serves rather than none. */
+function withoutRejected(
+  rejected: readonly string[],
+  admits: (version: string) => boolean,
+  ready: Iterable<string>,
+): (version: string) => boolean {
+  const isSound = (version: string) => admits(version) && !rejected.includes(version)
+  return [...ready].some(isSound) ? isSound : admits
+}
+
 function isOver(order: RolloutOrder, status: RolloutStatus | undefined): boolean {
   return status !== undefined && isOf(status, order) && status.state !== 'active'
 }
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -25,6 +25,8 @@
 
 /** An upstream that requests may be sent to. */
 export interface Upstream extends UpstreamCandidate {
+  /** Names the run that this is of. Asked for with each candidate of each choice. */
+  run: string
   channels: UpstreamChannels
   health: ExchangeHealth
   /** This box's own exchanges under way. */
@@ -113,7 +115,7 @@
     const now = clock.now()
     const candidates: Upstream[] = []
     for (const upstream of this.#upstreams.values()) {
-      if (!this.#isCandidate(upstream, query)) continue
+      if (!this.#isCandidate(upstream, query, now)) continue
       upstream.load = loadOf(upstream, now)
       upstream.waiting = work.waiting(upstream.listed.id)
       upstream.slowness = work.slowness(upstream.listed.id)
@@ -128,9 +130,10 @@
 
   /** Whether some upstream would take a request once one of its connections is free. */
   couldTake(query: PickQuery): boolean {
-    const { cold } = this.options
+    const { clock, cold } = this.options
+    const now = clock.now()
     return [...this.#upstreams.values()].some(
-      upstream => this.#isEligible(upstream, query) && cold.admitsSoon(upstream),
+      upstream => this.#isEligible(upstream, query) && cold.admitsSoon(upstream, now),
     )
   }
 
@@ -204,7 +207,7 @@
 
   /** Another box found another process at the address of an upstream's run. True if that is news. */
   takeGone(run: string): boolean {
-    const upstream = [...this.#upstreams.values()].find(({ listed }) => runOf(listed) === run)
+    const upstream = [...this.#upstreams.values()].find(other => other.run === run)
     if (!upstream || !noteGone(upstream.health)) return false
     this.options.log.note('upstream-replaced', { upstream: run, service: upstream.listed.service })
     return true
@@ -235,14 +238,16 @@
       this.#takesRequests(upstream) &&
       !health.isGone &&
       query.admits(listed.version) &&
-      !query.tried.includes(runOf(listed))
+      !query.tried.includes(upstream.run)
     )
   }
 
-  #isCandidate(upstream: Upstream, query: PickQuery): boolean {
+  #isCandidate(upstream: Upstream, query: PickQuery, now: Milliseconds): boolean {
     const { channels } = upstream
     const hasChannel = channels.idle > 0 || channels.open < query.channelLimit
-    return this.#isEligible(upstream, query) && hasChannel && this.options.cold.admits(upstream)
+    return (
+      this.#isEligible(upstream, query) && hasChannel && this.options.cold.admits(upstream, now)
+    )
   }
 
   #hearsOthers(upstream: Upstream): boolean {
@@ -271,6 +276,7 @@
       const health = createExchangeHealth(now)
       this.#upstreams.set(entry.id, {
         listed: entry,
+        run: runOf(entry),
         nameHash: hashText(entry.id),
         channels,
         health,
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -3,7 +3,6 @@
   ListedUpstream,
   Milliseconds,
   RolloutOrder,
-  RolloutState,
   RolloutStatus,
 } from '@yewkeel/decisions'
 
@@ -55,9 +54,7 @@
   readRollouts(): Promise<StoreRead<readonly RolloutStatus[]>>
   /** Writes a status if that of the service is still at `expectedRevision`; 0 for none yet. */
   writeRollout(
-    status: Pick<RolloutStatus, 'rejected' | 'service' | 'startedAt' | 'target'> & {
-      state: RolloutState
-    },
+    status: Omit<RolloutStatus, 'revision'>,
     expectedRevision: number,
   ): Promise<WriteOutcome>
   readBoxes(): Promise<readonly BoxEntry[]>
