--- a/packages/gateway/src/requests/tryLog.ts
+++ b/packages/gateway/src/requests/tryLog.ts
@@ -15,6 +15,9 @@
   firstEvent?: Milliseconds
   /** The longest time between two pieces of the stream. */
   longestPause?: Milliseconds
+  /** Pieces of the stream that came, and when the last of them did, counted from the request's arrival. */
+  pieces?: number
+  lastPiece?: Milliseconds
 }
 
 /** What became of the tries of one request, as its line in the log tells it. */
@@ -47,7 +50,9 @@
   piece(pause: Milliseconds | undefined): void {
     const record = this.records.at(-1)
     if (!record) return
-    if (pause === undefined) record.firstEvent = this.#sinceArrival()
+    record.pieces = (record.pieces ?? 0) + 1
+    record.lastPiece = this.#sinceArrival()
+    if (pause === undefined) record.firstEvent = record.lastPiece
     else if (pause > (record.longestPause ?? 0)) record.longestPause = Math.round(pause)
   }
 
