--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -8,6 +8,7 @@
   type Timer,
 } from '@yewkeel/decisions'
 import { probeConnection } from './node/connectInTime.js'
+import { UpstreamChannels, type OpenChannels } from './node/upstreamChannels.js'
 import { handleCaller } from './requests/handleCaller.js'
 import { StallWatch } from './requests/stallWatch.js'
 import { ColdGuard } from './tasks/coldGuard.js'
@@ -42,6 +43,16 @@
   dialect: Dialect
   store: Store
   transport: PeerTransport<GatewayMessage>
+  /**
+   * Opens the connections to an upstream.
+   * @default connections over TCP
+   */
+  openChannels?: OpenChannels
+  /**
+   * Whether an address takes connections.
+   * @default tries one over TCP
+   */
+  probe?(address: string): Promise<boolean>
   /** The operators' limits on callers have changed. */
   onConfiguration(state: OperatorState): void
 }
@@ -115,6 +126,7 @@
     metrics,
     work,
     cold,
+    openChannels: options.openChannels ?? (address => new UpstreamChannels(address, clock)),
     namesService: name =>
       operators.index === undefined || operators.index.service(name) !== undefined,
     knowsFarWork: () => peers.isMesh,
@@ -126,7 +138,8 @@
   })
   const reachability = new ReachabilityWatch({
     clock,
-    probe: ({ listed }) => probeConnection(listed.address, clock),
+    probe: ({ listed }) =>
+      options.probe?.(listed.address) ?? probeConnection(listed.address, clock),
     isListed: upstream => upstreams.isListed(upstream),
     onUnreachable: upstream => upstreams.noteOutcome(upstream, 'unreachable'),
     onReachable: upstream => upstreams.noteReturned(upstream),
--- a/packages/gateway/src/node/upstreamChannels.ts
+++ b/packages/gateway/src/node/upstreamChannels.ts
@@ -29,6 +29,19 @@
   cancel(): void
 }
 
+/** The connections of this box to one upstream. */
+export interface Channels {
+  /** Connections that are open, in use or idle. */
+  readonly open: number
+  readonly idle: number
+  send(request: ExchangeRequest, listener: ExchangeListener): Exchange
+  /** Takes no more requests; connections in use end with their exchange. */
+  retire(): void
+}
+
+/** Opens the connections to the upstream at an address, `host:port`. */
+export type OpenChannels = (address: string) => Channels
+
 /** Idle connections are closed after this, unless the upstream names a shorter time. */
 const IDLE_TIMEOUT: Milliseconds = 8_000
 /** Closed this much sooner than the upstream would. */
@@ -52,8 +65,8 @@
   isBroken: boolean
 }
 
-/** The connections of this box to one upstream. One request at a time on each; idle ones are used again. */
-export class UpstreamChannels {
+/** Connections over TCP. One request at a time on each; idle ones are used again. */
+export class UpstreamChannels implements Channels {
   readonly #idle: Channel[] = []
   readonly #open = new Set<Channel>()
   readonly #connect: ReturnType<typeof createConnectInTime>
@@ -128,7 +141,6 @@
     }
   }
 
-  /** Takes no more requests; connections in use end with their exchange. */
   retire(): void {
     this.#isRetired = true
     for (const channel of this.#idle.splice(0)) this.#drop(channel)
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -17,7 +17,7 @@
   type Random,
   type UpstreamCandidate,
 } from '@yewkeel/decisions'
-import { UpstreamChannels } from '../node/upstreamChannels.js'
+import type { Channels, OpenChannels } from '../node/upstreamChannels.js'
 import type { EventLog, GatewayMetrics } from '../types/ports.js'
 import type { ColdGuard } from './coldGuard.js'
 import type { EngineWork } from './engineWork.js'
@@ -27,7 +27,7 @@
 export interface Upstream extends UpstreamCandidate {
   /** Names the run that this is of. Asked for with each candidate of each choice. */
   run: string
-  channels: UpstreamChannels
+  channels: Channels
   health: ExchangeHealth
   /** This box's own exchanges under way. */
   inFlight: number
@@ -66,6 +66,7 @@
   metrics: GatewayMetrics
   work: EngineWork
   cold: ColdGuard
+  openChannels: OpenChannels
   /** Whether the operators' configuration names the service. Of any other no entry counts, not even at its address. */
   namesService(service: string): boolean
   /** Whether the boxes of other data centres tell this one what they have sent to upstreams. */
@@ -272,7 +273,7 @@
     const now = this.options.clock.now()
     const known = this.#upstreams.get(entry.id)
     if (!known) {
-      const channels = new UpstreamChannels(entry.address, this.options.clock)
+      const channels = this.options.openChannels(entry.address)
       const health = createExchangeHealth(now)
       this.#upstreams.set(entry.id, {
         listed: entry,
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -14,6 +14,7 @@
   probeConnection,
   ReachabilityWatch,
   UnreachableError,
+  UpstreamChannels,
   UpstreamDirectory,
   type Upstream,
 } from '../src/index.js'
@@ -52,6 +53,7 @@
       boxes: () => [],
     }),
     namesService: () => true,
+    openChannels: address => new UpstreamChannels(address, clock),
     knowsFarWork: () => true,
     onGone: () => {},
     onUnreachable: upstream => void unreachable.push(upstream.listed.id),
