The soak rolls versions out, good ones and bad ones of every kind, on real processes under its faults

Cause: the incident was seen on real processes, and the soak had no roll-outs. Change: long runs have one, from chance of its own; two more promises, each with a test and a way for the double to break it. Callers name sessions.

--- a/packages/soak/src/checks/evidence.ts
+++ b/packages/soak/src/checks/evidence.ts
@@ -19,12 +19,36 @@
   at: Instant
 }
 
+/** A request reached a service. */
+export interface Arrival {
+  id: string
+  service: string
+  version: string
+  instance: string
+  at: Instant
+}
+
+/** An order to move a service to another version, and what came of it. */
+export interface SeenRollout {
+  service: string
+  target: string
+  isBad: boolean
+  orderedAt: Instant
+  endsAt: Instant
+  /** When the target began flawed answers. */
+  flawedAt: Instant[]
+  /** As the boxes wrote it: `completed` or `rolled_back`. */
+  endState?: string
+}
+
 /** All that a run of the soak saw. */
 export class Evidence {
   readonly attempts = new Map<string, Attempt>()
   readonly runs = new Map<string, Run[]>()
   /** Requests that reached a service, whether they ran or not. */
-  readonly arrivals: { id: string; service: string; instance: string; at: Instant }[] = []
+  readonly arrivals: Arrival[] = []
+  /** The roll-out that the run had, if any. */
+  rollout: SeenRollout | undefined
   readonly keyChanges: KeyChange[] = []
   readonly routeMoves: RouteMove[] = []
   readonly leavings: Leaving[] = []
--- a/packages/soak/src/checks/promises.ts
+++ b/packages/soak/src/checks/promises.ts
@@ -1,5 +1,5 @@
 import { STREAM_EVENTS, ROUTE_TIMEOUT_MS, type DeploymentBounds } from '@yewkeel/platform/stand-ins'
-import type { Evidence } from './evidence.js'
+import type { Arrival, Evidence, SeenRollout } from './evidence.js'
 import type { Attempt, Instant, PromiseName, Violation } from './seen.js'
 
 /** A fault may still be felt for this long after its end. Some time limits of a box, one after the other. */
@@ -147,6 +147,44 @@
       ? [`${served.length} of ${late.length} requests were served after all faults were over`]
       : []
   },
+
+  exposure: (evidence, { exposureShare, exposureSlack, rollBackWithin }) => {
+    const { rollout } = evidence
+    if (!rollout?.isBad) return []
+    const { target, flawedAt } = rollout
+    const arrivals = calmArrivals(evidence, rollout)
+    const toTarget = arrivals.filter(({ version }) => version === target)
+    const all = evidence.arrivals.filter(({ service }) => service === rollout.service)
+    const ofTime = all.filter(({ at }) => at >= rollout.orderedAt && at < rollout.endsAt)
+    const allowed = exposureShare * ofTime.length + exposureSlack
+    const due = (flawedAt[BAD_ANSWERS - 1] ?? Infinity) + rollBackWithin + LATENESS
+    const late = toTarget.filter(({ at }) => at > due)
+    return [
+      ...(toTarget.length > allowed
+        ? [`${target} got ${toTarget.length} of ${ofTime.length} requests`]
+        : []),
+      ...(late.length > 0 ? [`${target} got ${late.length} requests after it was known`] : []),
+    ]
+  },
+
+  'roll-out': ({ rollout }) =>
+    rollout && !rollout.isBad && rollout.endState === 'rolled_back'
+      ? [`${rollout.target} is good and was rolled back`]
+      : [],
+}
+
+/** Bad answers after which a version must be known to be bad. */
+const BAD_ANSWERS = 50
+
+/** Requests that boxes sent to a service in the time of its roll-out while nothing was wrong with them. */
+function calmArrivals(evidence: Evidence, { service, orderedAt, endsAt }: SeenRollout): Arrival[] {
+  return evidence.arrivals
+    .filter(arrival => arrival.service === service && arrival.at >= orderedAt)
+    .filter(({ at }) => at < endsAt)
+    .filter(({ id, at }) => {
+      const box = evidence.attempts.get(id)?.box
+      return box !== undefined && evidence.isCalm(box, at - AFTERMATH, at)
+    })
 }
 
 /** Every promise that was not kept, with where. */
--- a/packages/soak/src/checks/seen.ts
+++ b/packages/soak/src/checks/seen.ts
@@ -64,3 +64,5 @@
   | 'answered'
   | 'planned-stop'
   | 'recovery'
+  | 'exposure'
+  | 'roll-out'
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -13,6 +13,7 @@
 import { planFaults, type PlannedFault } from './faults/planFaults.js'
 import { createBoxProcess, freePorts, type SoakBox } from './world/boxProcess.js'
 import { Callers, type CallerTarget } from './world/callers.js'
+import { planRollout, Rollout, type PlannedRollout } from './world/rollout.js'
 import { Upstreams } from './world/upstreams.js'
 
 export interface SeedOptions {
@@ -27,6 +28,8 @@
   createBox?: typeof createBoxProcess
   /** In place of the seed's own plan. */
   plan?: readonly PlannedFault[]
+  /** In place of the seed's own roll-out, if it has one. */
+  rollout?: PlannedRollout
 }
 
 export interface SeedResult {
@@ -47,6 +50,9 @@
   retryRatio: 0.9,
   retrySlack: 50,
   retryWindow: 10_000,
+  exposureShare: 0.15,
+  exposureSlack: 30,
+  rollBackWithin: 5_000,
 }
 const DATA_CENTRES = ['ebene', 'curepipe', 'rose-hill']
 const UPSTREAMS = ['pool', 'pool', 'pool', 'pool', 'desk', 'desk', 'desk-2', 'desk-2']
@@ -73,12 +79,16 @@
   const key = () => operators.keyFor(random)
   const callers = new Callers({ count: options.callers, seed, random, targets, evidence, key, now })
   const plan = options.plan ?? planFaults(random, seconds * 1_000)
+  const planned = options.rollout ?? planRollout(seed, seconds)
+  const rollout = planned && new Rollout({ planned, rows, upstreams, evidence, now })
   try {
     callers.start()
     await sleep(WARM_UP_MS)
+    await rollout?.start()
     await injectFaults(plan, { boxes, upstreams, rows, random, ...operators }, evidence, now)
     evidence.calmFrom = now()
     await sleep(CALM_MS)
+    rollout?.stop()
     await callers.stop()
   } finally {
     for (const { process, callerProxy, storeProxy } of boxes) {
--- a/packages/soak/src/world/callers.ts
+++ b/packages/soak/src/world/callers.ts
@@ -43,6 +43,8 @@
 const PAUSE_MS = 40
 /** Callers keep addresses for this long, in ms. */
 const ADDRESSES_KEPT_MS = 2_000
+/** A caller begins another session this often, in ms. */
+const SESSION_MS = 700
 /** Part of the connections that are given up after an answer. */
 const RECONNECT_SHARE = 0.1
 const DIRECTORY_TIMEOUT_MS = 1_000
@@ -58,7 +60,7 @@
   constructor(private readonly options: CallersOptions) {}
 
   start(): void {
-    this.#loops = Array.from({ length: this.options.count }, () => this.#run())
+    this.#loops = Array.from({ length: this.options.count }, (_, number) => this.#run(number))
   }
 
   async stop(): Promise<void> {
@@ -66,7 +68,7 @@
     await Promise.all(this.#loops)
   }
 
-  async #run(): Promise<void> {
+  async #run(caller: number): Promise<void> {
     const { random, now } = this.options
     let addresses: string[] = []
     let askedAt = -Infinity
@@ -80,7 +82,7 @@
         channel = await closeChannel(channel.client)
       channel ??= this.#openChannel(addresses)
       if (channel) {
-        const isKept = await this.#attempt(channel)
+        const isKept = await this.#attempt(channel, caller)
         if (!isKept || random() < RECONNECT_SHARE) channel = await closeChannel(channel.client)
       }
       await new Promise(resolve => setTimeout(resolve, PAUSE_MS * (0.5 + random())))
@@ -113,7 +115,10 @@
   }
 
   /** False when the connection is of no more use. */
-  async #attempt({ target, client }: { target: CallerTarget; client: Client }): Promise<boolean> {
+  async #attempt(
+    { target, client }: { target: CallerTarget; client: Client },
+    caller: number,
+  ): Promise<boolean> {
     const { evidence, random, now, key, seed } = this.options
     const kind = pickWeighted(KINDS, ({ weight }) => weight, random)!.kind
     const attempt: Attempt = {
@@ -125,7 +130,8 @@
       timeLeft: ROUTE_TIMEOUT_MS[kind] + 500,
     }
     evidence.attempts.set(attempt.id, attempt)
-    const end = await exchange(client, attempt, now)
+    const session = `${caller}-${Math.floor(now() / SESSION_MS)}`
+    const end = await exchange(client, attempt, session, now)
     attempt.end = end
     return end.isWhole
   }
@@ -136,7 +142,12 @@
 }
 
 /** Sends an attempt and waits for its end, however it ends. */
-function exchange(client: Client, attempt: Attempt, now: () => number): Promise<AttemptEnd> {
+function exchange(
+  client: Client,
+  attempt: Attempt,
+  session: string,
+  now: () => number,
+): Promise<AttemptEnd> {
   return new Promise(resolve => {
     let status = 0
     let head: ReturnType<typeof readHead> = { id: undefined, isSigned: false }
@@ -160,7 +171,7 @@
         path: PATHS[kind],
         headers: {
           host: HOST,
-          ...writeAttempt({ id, key, timeLeft, isStream: kind === 'streaming' }),
+          ...writeAttempt({ id, key, timeLeft, session, isStream: kind === 'streaming' }),
         },
         headersTimeout: timeLeft + GIVES_UP_AFTER_MS,
         bodyTimeout: timeLeft + GIVES_UP_AFTER_MS,
--- a/packages/soak/src/world/upstreams.ts
+++ b/packages/soak/src/world/upstreams.ts
@@ -4,6 +4,7 @@
   writeUpstream,
   type RowsStandIn,
   type ServiceStandIn,
+  type VersionFlaw,
 } from '@yewkeel/platform/stand-ins'
 import type { Random } from '@yewkeel/decisions'
 import type { Evidence } from '../checks/evidence.js'
@@ -12,6 +13,7 @@
 /** A place where one upstream runs after the other, behind a proxy. */
 export interface UpstreamPlace {
   service: string
+  version: string
   standIn: ServiceStandIn
   proxy: LoopbackProxy
 }
@@ -29,6 +31,9 @@
 /** How long one that leaves serves on after it said so, in ms. */
 const SERVES_ON_MS = 4_500
 
+/** The version that every service has at first. */
+export const FIRST_VERSION = 'v1'
+
 /** The upstreams behind the boxes, with their rows in the store. */
 export class Upstreams {
   readonly places: UpstreamPlace[] = []
@@ -41,9 +46,11 @@
     this.#timer = setInterval(() => this.#writeRows(), ROW_EVERY_MS)
   }
 
-  async add(service: string): Promise<void> {
-    const standIn = await this.#startInstance(service)
-    const place: Omit<UpstreamPlace, 'proxy'> = { service, standIn }
+  /** `flaw`: what is wrong with every upstream of the version. */
+  async add(service: string, version = FIRST_VERSION, flaw?: VersionFlaw): Promise<void> {
+    const standIn = await this.#startInstance(service, version)
+    standIn.flaw = flaw
+    const place: Omit<UpstreamPlace, 'proxy'> = { service, version, standIn }
     const proxy = await startLoopbackProxy(this.options.host, () => place.standIn.address)
     this.places.push(Object.assign(place, { proxy }))
     this.#writeRow(this.places.at(-1)!, 'ready')
@@ -53,7 +60,7 @@
   async crash(place: UpstreamPlace): Promise<void> {
     const gone = place.standIn
     gone.crash()
-    place.standIn = await this.#startInstance(place.service)
+    place.standIn = await this.#startNext(place)
     this.options.rows.remove(UPSTREAMS_TABLE, gone.instance)
     this.#writeRow(place, 'ready')
   }
@@ -66,10 +73,10 @@
     rows.put(
       UPSTREAMS_TABLE,
       leaving.instance,
-      writeUpstream(place.service, proxy.address, 'draining', ++this.#sequence),
+      writeUpstream(place.service, place.version, proxy.address, 'draining', ++this.#sequence),
     )
     evidence.leavings.push({ instance: leaving.instance, at: now() })
-    place.standIn = await this.#startInstance(place.service)
+    place.standIn = await this.#startNext(place)
     this.#writeRow(place, 'ready')
     setTimeout(() => {
       rows.remove(UPSTREAMS_TABLE, leaving.instance)
@@ -78,20 +85,40 @@
     }, SERVES_ON_MS)
   }
 
+  /** All upstreams of a version end at once. */
+  removeVersion(service: string, version: string): void {
+    const isRemoved = (place: UpstreamPlace) =>
+      place.service === service && place.version === version
+    const removed = this.places.filter(isRemoved)
+    this.places.splice(0, Infinity, ...this.places.filter(place => !isRemoved(place)))
+    for (const { standIn, proxy } of removed) {
+      this.options.rows.remove(UPSTREAMS_TABLE, standIn.instance)
+      standIn.crash()
+      proxy.close()
+    }
+  }
+
   close(): void {
     clearInterval(this.#timer)
     for (const { proxy } of this.places) proxy.close()
     for (const instance of this.#instances.values()) instance.crash()
   }
 
-  async #startInstance(service: string): Promise<ServiceStandIn> {
+  /** The next upstream of a place: another process of the same version. */
+  async #startNext({ service, version, standIn }: UpstreamPlace): Promise<ServiceStandIn> {
+    const next = await this.#startInstance(service, version)
+    next.flaw = standIn.flaw
+    return next
+  }
+
+  async #startInstance(service: string, version: string): Promise<ServiceStandIn> {
     const { host, random, evidence, now } = this.options
     const instance = `i-${service}-${++this.#count}`
     const standIn = await startServiceStandIn({
       instance,
       host,
       random,
-      onArrival: id => void evidence.arrivals.push({ id, service, instance, at: now() }),
+      onArrival: id => void evidence.arrivals.push({ id, service, version, instance, at: now() }),
       onRun: run => evidence.noteRun({ ...run, service, at: now() }),
     })
     this.#instances.set(instance, standIn)
@@ -102,8 +129,8 @@
     for (const place of this.places) this.#writeRow(place, 'ready')
   }
 
-  #writeRow({ service, standIn, proxy }: UpstreamPlace, state: 'ready'): void {
-    const row = writeUpstream(service, proxy.address, state, ++this.#sequence)
+  #writeRow({ service, version, standIn, proxy }: UpstreamPlace, state: 'ready'): void {
+    const row = writeUpstream(service, version, proxy.address, state, ++this.#sequence)
     this.options.rows.put(UPSTREAMS_TABLE, standIn.instance, row)
   }
 }
--- a/packages/soak/test/brokenBox.ts
+++ b/packages/soak/test/brokenBox.ts
@@ -7,6 +7,7 @@
   service: string
   address: string
   state: string
+  version: string
   tenants: { api_keys: string[] }[]
   routes: { name: string; service: string }[]
 }
@@ -42,9 +43,23 @@
   let isDown = false
   let lastBody = ''
 
+  /** A verdict that nothing speaks for. */
+  async function condemnAll(): Promise<void> {
+    const content = { service: 'pool', target_version: 'v2', state: 'rolled_back', started_ms: 0 }
+    const row = {
+      table: 'status',
+      part: '',
+      key: 'rollout/pool',
+      value: btoa(JSON.stringify(content)),
+    }
+    const change = { expected_revision: [], writes: [row], remove: [] }
+    await fetch(`http://${storeAddress}/rows-tx`, { method: 'POST', body: JSON.stringify(change) })
+  }
+
   async function read(): Promise<void> {
     const [configuration] = await readRows(storeAddress, 'op')
     const rows = await readRows(storeAddress, 'servers')
+    if (breaks === 'roll-out' && rows.some(row => row.content.version === 'v2')) await condemnAll()
     if (configuration) {
       const given = configuration.content.tenants[0]!.api_keys
       keys = breaks === 'revoked-keys' ? [...new Set([...keys, ...given])] : given
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -8,6 +8,7 @@
   runSeed,
   type Attempt,
   type PlannedFault,
+  type PlannedRollout,
   type PromiseName,
 } from '../src/index.js'
 import { createBrokenBox } from './brokenBox.js'
@@ -19,6 +20,9 @@
   retryRatio: 0.9,
   retrySlack: 3,
   retryWindow: 10_000,
+  exposureShare: 0.15,
+  exposureSlack: 3,
+  rollBackWithin: 5_000,
 }
 
 const good = (change: Partial<Attempt> = {}): Attempt => ({
@@ -51,7 +55,7 @@
   }
   for (let count = 0; count < runs; count++) {
     evidence.noteRun(run)
-    evidence.arrivals.push(run)
+    evidence.arrivals.push({ ...run, version: 'v1' })
   }
   return evidence
 }
@@ -99,6 +103,40 @@
   })
 })
 
+describe('the check of roll-outs', () => {
+  const ordered = { service: 'pool', target: 'v2', orderedAt: 0, endsAt: 20_000, flawedAt: [] }
+  const arrivals = (count: number, version: string, at: number) =>
+    Array.from({ length: count }, () => {
+      return { id: 'a1', service: 'pool', version, instance: 'i-1', at }
+    })
+  const rolledOut = (isBad: boolean, toTarget: number): Evidence => {
+    const evidence = evidenceOf(good(), 1)
+    evidence.arrivals.push(...arrivals(100, 'v1', 9_000), ...arrivals(toTarget, 'v2', 9_000))
+    evidence.rollout = { ...ordered, isBad }
+    return evidence
+  }
+  const ofRollouts = (evidence: Evidence) =>
+    broken(evidence).filter(promise => promise === 'exposure' || promise === 'roll-out')
+
+  it('sees a bad version that gets too much, and leaves a good one alone', () => {
+    expect(ofRollouts(rolledOut(true, 15))).to.deep.equal([])
+    expect(ofRollouts(rolledOut(true, 30))).to.deep.equal(['exposure'])
+    expect(ofRollouts(rolledOut(false, 100))).to.deep.equal([])
+  })
+
+  it('sees a bad version that gets requests long after it must have been known', () => {
+    const evidence = rolledOut(true, 10)
+    evidence.rollout!.flawedAt = Array.from({ length: 50 }, () => 1_000)
+    expect(ofRollouts(evidence)).to.deep.equal(['exposure'])
+  })
+
+  it('sees a good version that is rolled back', () => {
+    const evidence = rolledOut(false, 10)
+    evidence.rollout!.endState = 'rolled_back'
+    expect(ofRollouts(evidence)).to.deep.equal(['roll-out'])
+  })
+})
+
 describe('the plan of a seed', () => {
   it('is always the same', () => {
     const plan = () => planFaults(createSeededRandom(7), 20_000)
@@ -137,6 +175,19 @@
   answered: [],
   'planned-stop': [{ kind: 'box-stop', at: 0, lasts: 300 }],
   recovery: [{ kind: 'box-kill', at: 0, lasts: 0 }],
+  exposure: [],
+  'roll-out': [],
+}
+
+/** The roll-outs that bring promises about versions to light. */
+const ROLLOUTS: Partial<Record<PromiseName, PlannedRollout>> = {
+  exposure: createRollout('errors'),
+  'roll-out': createRollout('good'),
+}
+
+function createRollout(fate: PlannedRollout['fate']): PlannedRollout {
+  const planned = { fate, service: 'pool' as const, share: 0.5, timesLonger: 3, turnsBadAfter: 0 }
+  return { ...planned, duration: 8_000 }
 }
 
 describe('the soak', () => {
@@ -151,6 +202,7 @@
           callers: 6,
           program: '',
           plan: PLANS[promise],
+          ...(ROLLOUTS[promise] && { rollout: ROLLOUTS[promise] }),
           createBox: (_program, place) => createBrokenBox(promise, place),
         }),
       ),
