--- a/packages/decisions/src/rollouts/admittedVersions.ts
+++ b/packages/decisions/src/rollouts/admittedVersions.ts
@@ -29,3 +29,13 @@
   if (shares.keepsSessions) return false
   return hashText(session) % BUCKETS < shares.share * BUCKETS
 }
+
+/** Where nothing else is left a version that was rolled back serves rather than none. */
+export function withoutRejected(
+  rejected: readonly string[],
+  admits: (version: string) => boolean,
+  ready: Iterable<string>,
+): (version: string) => boolean {
+  const isSound = (version: string) => admits(version) && !rejected.includes(version)
+  return [...ready].some(isSound) ? isSound : admits
+}
--- a/packages/decisions/src/rollouts/rollout.ts
+++ b/packages/decisions/src/rollouts/rollout.ts
@@ -30,6 +30,11 @@
   return status !== undefined && status.target === order.target && status.revision > order.revision
 }
 
+/** Whether the roll-out has come to its end, either way. */
+export function isOver(order: RolloutOrder, status: RolloutStatus | undefined): boolean {
+  return status !== undefined && isOf(status, order) && status.state !== 'active'
+}
+
 /** Versions that may serve no more, whatever is ordered next: those that were rolled back, and were not ordered again. */
 export function rejectedVersions(
   status: RolloutStatus | undefined,
--- a/packages/decisions/test/versionEvidence.test.ts
+++ b/packages/decisions/test/versionEvidence.test.ts
@@ -1,10 +1,16 @@
 import { expect } from 'chai'
 import {
   createEvidenceLedger,
+  createRecentTimes,
+  findVersionDoubt,
   findVersionFault,
+  isSlow,
+  keepTrialUpstreams,
+  noteTime,
   takeAnswerCounts,
   type AnswerCount,
   type EvidenceLedger,
+  type UpstreamCandidate,
 } from '@yewkeel/decisions'
 
 const count = (
@@ -94,3 +100,60 @@
     expect(findVersionFault(ledger, 'v2', 1)).to.include({ good: 5, bad: 6 })
   })
 })
+
+describe('the look at a version when its trial is over', () => {
+  const isDoubted = (bad: number) =>
+    findVersionDoubt(ledgerOf([count('v1', 400, 2), count('v2', 40, bad)]), 'v2', 1) !== undefined
+
+  it('needs less against a version than a verdict at any time, and something', () => {
+    expect(isBad(ledgerOf([count('v1', 400, 2), count('v2', 40, 6)]))).to.equal(false)
+    expect(isDoubted(6)).to.equal(true)
+    expect(isDoubted(1)).to.equal(false)
+  })
+
+  it('says nothing of a version that has given no answers', () => {
+    expect(findVersionDoubt(ledgerOf([count('v1', 400, 2)]), 'v2', 4)).to.equal(undefined)
+  })
+})
+
+describe('what is usual', () => {
+  it('follows the newest answers, and is not believed of a few', () => {
+    const times = createRecentTimes()
+    const limit = { part: 0.5, times: 1 }
+    for (let number = 0; number < 7; number++) noteTime(times, 30)
+    expect(isSlow(times, 90, limit)).to.equal(undefined)
+    noteTime(times, 30)
+    expect(isSlow(times, 90, limit)).to.equal(true)
+    for (let number = 0; number < 40; number++) noteTime(times, 100)
+    expect(isSlow(times, 90, limit)).to.equal(false)
+  })
+})
+
+describe('the upstreams of a trial', () => {
+  const upstreams = (version: string) =>
+    Array.from({ length: 10 }, (_, number) => ({
+      listed: { version } as UpstreamCandidate['listed'],
+      nameHash: 7_919 * (number + 1),
+      load: 0,
+      waiting: 0,
+      slowness: 1,
+      isEjected: version === 'v2' && number === 0,
+    }))
+  const all = [...upstreams('v1'), ...upstreams('v2')]
+  const keptAt = (storeNow: number) =>
+    keepTrialUpstreams(all, { version: 'v2', share: 0.17, storeNow }).filter(
+      ({ listed }) => listed.version === 'v2',
+    )
+
+  it('are as many as its share of the requests, in turns, and none that is ejected', () => {
+    expect(keptAt(0)).to.have.length(2)
+    const seen = new Set([0, 1, 2, 3, 4].flatMap(round => keptAt(3_000 * round)))
+    expect(seen.size).to.equal(9)
+    expect([...seen].some(({ isEjected }) => isEjected)).to.equal(false)
+  })
+
+  it('leave those of other versions as they are', () => {
+    const kept = keepTrialUpstreams(all, { version: 'v2', share: 0.17, storeNow: 0 })
+    expect(kept.filter(({ listed }) => listed.version === 'v1')).to.have.length(10)
+  })
+})
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -2,10 +2,12 @@
   decideRollout,
   goesToTarget,
   isOf,
+  isOver,
   isTrialOver,
   keepsSessions,
   rejectedVersions,
   targetShare,
+  withoutRejected,
   type AnswerCount,
   type Clock,
   type ExposureLimit,
@@ -93,6 +95,7 @@
       : this.options.clock.now() + this.#storeOffset
   }
 
+  /** What this box tells the others of answers: nothing while no version is rolled out. */
   get answers(): AnswerCount[] {
     return this.isUnderWay ? this.judge.counts : []
   }
@@ -145,15 +148,16 @@
   }
 
   takeOrders(orders: readonly RolloutOrder[]): void {
+    if (orders.length !== this.#orders.length) this.#beliefs++
     for (const order of orders) {
       if (this.#orderOf(order.service)?.revision === order.revision) continue
       this.judge.forget(order.service)
       this.#orderedAt.delete(order.service)
       this.#doubted.delete(order.service)
+      this.#beliefs++
       this.options.log.note('rollout-ordered', { ...order })
     }
     this.#orders = orders
-    this.#beliefs++
     this.#noteOrderTimes()
   }
 
@@ -350,17 +354,3 @@
     }
   }
 }
-
-/** Where nothing else is left a version that was rolled back serves rather than none. */
-function withoutRejected(
-  rejected: readonly string[],
-  admits: (version: string) => boolean,
-  ready: Iterable<string>,
-): (version: string) => boolean {
-  const isSound = (version: string) => admits(version) && !rejected.includes(version)
-  return [...ready].some(isSound) ? isSound : admits
-}
-
-function isOver(order: RolloutOrder, status: RolloutStatus | undefined): boolean {
-  return status !== undefined && isOf(status, order) && status.state !== 'active'
-}
--- a/packages/gateway/test/badVersion.test.ts
+++ b/packages/gateway/test/badVersion.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { playRollout, type Played } from './playedRollout.js'
+import { playRollout, type BadVersion, type Played, type PlayedWorld } from './playedRollout.js'
 
 /** By the operators' settings: the part of a service's requests that a bad version may get, and some more. */
 const SHARE = 0.15
@@ -42,9 +42,62 @@
   })
 })
 
+/** Trouble beside a roll-out, by what goes wrong. */
+const TROUBLES = {
+  'half of the boxes restart again and again': [3_000, 9_000, 15_000, 18_000, 21_000].map(at => ({
+    at,
+    strike: ({ fleet }: PlayedWorld) =>
+      void fleet.restart(fleet.boxes.filter((_, number) => number % 2 === 0)),
+  })),
+  'the store turns half of the boxes away': [
+    {
+      at: 2_000,
+      strike: ({ fleet }: PlayedWorld) =>
+        fleet.boxes.forEach((box, number) => (box.isTurnedAway = number % 2 === 0)),
+    },
+  ],
+  'a third of the engines are four times slower': [
+    {
+      at: 4_000,
+      strike: ({ engines }: PlayedWorld) =>
+        engines.forEach((engine, number) => (engine.times = number % 3 === 0 ? 4 : 1)),
+    },
+  ],
+  'a third of the engines fail by themselves': [
+    {
+      at: 4_000,
+      strike: ({ engines }: PlayedWorld) =>
+        engines.forEach((engine, number) => (engine.failShare = number % 3 === 0 ? 0.4 : 0)),
+    },
+  ],
+}
+
+const BAD_VERSIONS: Record<string, BadVersion> = {
+  'fails every fifth request': { how: 'errors', share: 0.2 },
+  'is eight times slower in every fifth answer': { how: 'slow', share: 0.2, times: 8 },
+  'is three times slower in two of five answers': { how: 'slow', share: 0.4, times: 3 },
+  'fails on one route': { how: 'one-route', share: 0.4 },
+  'begins to fail in the middle of its trial': { how: 'late', share: 0.3, after: 16_000 },
+}
+
+describe('a bad version beside other trouble', function () {
+  this.timeout(120_000)
+  for (const [fault, bad] of Object.entries(BAD_VERSIONS))
+    for (const [name, trouble] of Object.entries(TROUBLES))
+      it(`that ${fault} gets no more than its share while ${name}`, async () => {
+        expectBounded(await playRollout({ bad, trouble }))
+      })
+})
+
 describe('a good version that is rolled out', function () {
   this.timeout(60_000)
 
+  for (const [name, trouble] of Object.entries(TROUBLES))
+    it(`is completed in its time while ${name}`, async () => {
+      const played = await playRollout({ trouble })
+      expect(played.state).to.equal('completed')
+    })
+
   it('is completed in its time, and moves no session in the first half', async () => {
     const played = await playRollout({})
     expect(played.state).to.equal('completed')
--- a/packages/gateway/test/rolloutTask.test.ts
+++ b/packages/gateway/test/rolloutTask.test.ts
@@ -164,6 +164,56 @@
   })
 })
 
+/**
+ * What users saw: for up to 25 s after a roll-back, further tries of requests that had begun before it went to the bad version, and boxes
+ * that the store turned away sent it new ones.
+ * Order of events: a request draws its version when it comes; the version is found bad; the store is written; the request tries again.
+ * Cause: the draw was kept for good, and a verdict counted only once the store had it.
+ */
+describe('a verdict on a version', () => {
+  const active = { service: 'pool', target: 'v2', state: 'active' as const, startedAt: 0 }
+  const isOut = {
+    writeRollout: () => Promise.reject(new Error('the store does not answer')),
+  } as unknown as RolloutTaskOptions['store']
+
+  /** A box at three quarters of a roll-out, and a session that is on trial there. */
+  async function createTrial(change: Partial<RolloutTaskOptions> = {}) {
+    const clock = new ManualClock()
+    const task = createTask({ clock, store: isOut, ...change })
+    task.takeStatuses([{ ...active, revision: 6 }])
+    task.noteStoreClock(0, 0)
+    await clock.advance(0.75 * ORDER.duration)
+    const sessions = Array.from({ length: 200 }, (_, number) => `s${number}`)
+    const session = sessions.find(name => task.admission('pool', name)('v2'))!
+    return { task, clock, session }
+  }
+
+  it('takes requests under way and new ones off the version at once, though the store does not answer', async () => {
+    const { task, session } = await createTrial()
+    const underWay = task.admission('pool', session)
+    expect(underWay('v2')).to.equal(true)
+    for (let count = 0; count < 40; count++)
+      for (const upstream of ['u2', 'u3', 'u4'])
+        task.judge.noteOutcome({ ...SUSPECT, upstream }, count % 2 === 0)
+    task.tick()
+    expect([underWay('v2'), underWay('v1')]).to.eql([false, true])
+    expect(task.admission('pool', session)('v2')).to.equal(false)
+    expect(task.verdicts).to.eql([{ service: 'pool', revision: ORDER.revision }])
+  })
+
+  it('counts on a box that another has told of it, and only for the order that it is of', async () => {
+    const { task, session } = await createTrial()
+    const underWay = task.admission('pool', session)
+    task.takeVerdicts([{ service: 'pool', revision: ORDER.revision - 1 }])
+    expect(underWay('v2')).to.equal(true)
+    task.takeVerdicts([{ service: 'pool', revision: ORDER.revision }])
+    expect(underWay('v2')).to.equal(false)
+    task.takeOrders([{ ...ORDER, target: 'v2', revision: ORDER.revision + 3 }])
+    task.takeStatuses([{ ...active, startedAt: 0, revision: 20 }])
+    expect(task.admission('pool', session)('v2')).to.equal(true)
+  })
+})
+
 describe('a leader that the store turns away', () => {
   it('is stepped in for by each of the next boxes before the end of the roll-out', async () => {
     const clock = new ManualClock()
--- a/packages/soak/src/faults/loopbackProxy.ts
+++ b/packages/soak/src/faults/loopbackProxy.ts
@@ -44,8 +44,11 @@
   }
   const relay = (from: Socket, to: Socket, isBack: boolean) => {
     const later = createOrderedDelay(() => (mode === 'delay' ? DELAY_MS : 0))
+    // A connection that has lost bytes never goes on after them: no network takes some out of its middle.
+    let hasLostBytes = false
     from.on('data', chunk => {
-      if (mode === 'silent' || (mode === 'silent-back' && isBack)) return
+      hasLostBytes ||= mode === 'silent' || (mode === 'silent-back' && isBack)
+      if (hasLostBytes) return
       later(() => to.destroyed || to.write(chunk))
     })
     from.once('end', () => later(() => to.end()))
--- a/packages/soak/test/brokenBox.ts
+++ b/packages/soak/test/brokenBox.ts
@@ -45,11 +45,11 @@
 
   /** A verdict that nothing speaks for. */
   async function condemnAll(): Promise<void> {
-    const content = { service: 'pool', target_version: 'v2', state: 'rolled_back', started_ms: 0 }
+    const content = { service: 'desk', target_version: 'v2', state: 'rolled_back', started_ms: 0 }
     const row = {
       table: 'status',
       part: '',
-      key: 'rollout/pool',
+      key: 'rollout/desk',
       value: btoa(JSON.stringify(content)),
     }
     const change = { expected_revision: [], writes: [row], remove: [] }
@@ -69,6 +69,13 @@
     upstreams = rows.filter(row => breaks === 'draining' || row.content.state === 'ready')
   }
 
+  /** All to the new version, as soon as it is there. */
+  function membersOf(wanted: string): PlainRow[] {
+    const members = upstreams.filter(({ content }) => content.service === wanted)
+    const newest = members.filter(({ content }) => content.version === 'v2')
+    return breaks === 'exposure' && newest.length > 0 ? newest : members
+  }
+
   function forward(message: IncomingMessage, response: ServerResponse): void {
     const id = String(message.headers['attempt-id'])
     const key = String(message.headers.authorization).replace('Token ', '')
@@ -76,7 +83,7 @@
     if (!keys.includes(key)) return void response.writeHead(401, { 'attempt-id': id }).end()
     if (breaks === 'answered' && Math.random() < IGNORED_SHARE) return
     const wanted = isStream ? 'pool' : service
-    const members = upstreams.filter(({ content }) => content.service === wanted)
+    const members = membersOf(wanted)
     const sends =
       breaks === 'retry-budget' || (breaks === 'once' && message.method === 'POST') ? 4 : 1
     for (let count = 0; count < sends && members.length > 0; count++) {
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -186,7 +186,8 @@
 }
 
 function createRollout(fate: PlannedRollout['fate']): PlannedRollout {
-  const planned = { fate, service: 'pool' as const, share: 0.5, timesLonger: 3, turnsBadAfter: 0 }
+  // Most attempts are calls, so that there are enough on a busy machine too.
+  const planned = { fate, service: 'desk' as const, share: 0.5, timesLonger: 3, turnsBadAfter: 0 }
   return { ...planned, duration: 8_000 }
 }
 
