Evidence of long ago is kept in one block, so that a roll-out of hours is no more to judge than one of a minute

The ledger cut evidence into blocks of 2 s without a bound, and the test looks from each block on, over all later ones: 1,800 blocks an hour. The product's own evidence folds its old blocks; this ledger did not. Change: blocks before the newest 30 are added together, by the same two constants. Nothing changes in the first minute of a roll-out.

--- a/packages/decisions/src/rollouts/versionEvidence.ts
+++ b/packages/decisions/src/rollouts/versionEvidence.ts
@@ -1,4 +1,4 @@
-import type { EvidenceTotal } from '../exposure/evidence.js'
+import { KEPT_BLOCKS, OLDER_BLOCK, type EvidenceTotal } from '../exposure/evidence.js'
 import {
   isShownWorse,
   logEvidenceOfAll,
@@ -155,9 +155,24 @@
   cells.set(name, cell)
   const total = cell.blocks.get(block) ?? { served: 0, good: 0, bad: 0 }
   cell.blocks.set(block, total)
+  foldOldBlocks(cell.blocks, block)
   return total
 }
 
+/** Blocks of long ago are added together, so that a roll-out of hours is no more to keep and to judge than one of a minute. */
+function foldOldBlocks(blocks: Map<number, EvidenceTotal>, newest: number): void {
+  for (const [block, { served, good, bad }] of blocks) {
+    if (block === OLDER_BLOCK || block > newest - KEPT_BLOCKS) continue
+    const older = blocks.get(OLDER_BLOCK) ?? { served: 0, good: 0, bad: 0 }
+    blocks.delete(block)
+    blocks.set(OLDER_BLOCK, {
+      served: older.served + served,
+      good: older.good + good,
+      bad: older.bad + bad,
+    })
+  }
+}
+
 /**
  * Why a version is worse than the others of its service, at the same time and for the same work: in one aspect, on all routes
  * or on one. Undefined while that is not shown.
--- a/packages/decisions/test/versionEvidence.test.ts
+++ b/packages/decisions/test/versionEvidence.test.ts
@@ -93,6 +93,14 @@
     expect(isBad(ledgerOf(allFail), 8)).to.equal(true)
   })
 
+  it('is kept in a bounded number of blocks, and none is lost, however long a roll-out takes', () => {
+    const ledger = createEvidenceLedger()
+    for (let step = 1; step <= 400; step++)
+      takeAnswerCounts(ledger, 'box-1', [count('v1', step, 0), count('v2', 0, step)], 10_000 * step)
+    for (const { blocks } of ledger.cells.values()) expect(blocks.size).to.be.at.most(31)
+    expect(findVersionFault(ledger, 'v2', 1)).to.include({ bad: 400, othersGood: 400 })
+  })
+
   it('counts on when a box starts again and counts from nothing', () => {
     const ledger = ledgerOf([count('v1', 200, 0), count('v2', 3, 2)])
     takeAnswerCounts(ledger, 'box-1', [count('v2', 0, 1)], 1_000)
