Logs tell which attempts are of one request, and which broken answers were the end of an upstream

Cause: lines name the attempt alone, so that repeats of one request could not be told from others, nor a crash from a reset. Change: a keyed digest of path, caller and body, worked out only for requests that were aboard of a crash; a line and a counter for each. Ruled out: a digest for every request; it costs where nothing is looked for.

--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -8,6 +8,8 @@
   requests: 'requests by outcome',
   arrivals:
     'requests sent to upstreams: the first of each, repeats, and those that another process turned away',
+  crashes:
+    'requests that were at an upstream when its process ended, and what was held against them',
   exchanges: 'tries at upstreams by outcome',
   retries: 'requests sent once more, and those that the retry budget did not allow',
   ejections: 'upstreams taken out of use, by service',
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -15,6 +15,7 @@
   type ExchangeHandler,
   type RunningExchange,
 } from './exchangeWithUpstream.js'
+import { requestDigest } from './requestDigest.js'
 import { TryAccount } from './tryAccount.js'
 import { TryLog } from './tryLog.js'
 
@@ -42,6 +43,8 @@
   /** The newest opinion that a model gave of its answer to this request. */
   doubted: { model: string; confidence: number } | undefined
   #exchange: RunningExchange | undefined
+  #digest: string | undefined
+  #sentAt: Milliseconds = 0
   #retryAfter: Milliseconds | undefined
   readonly #timer: { cancel(): void }
   #onOver: (() => void) | undefined
@@ -78,6 +81,12 @@
     return this.#tries.mayHaveRun
   }
 
+  /** The same for each attempt at the same request. Worked out only once it is asked for. */
+  get digest(): string {
+    this.#digest ??= requestDigest(this.services.settings.peerSecret, this.admitted)
+    return this.#digest
+  }
+
   /** Called once when the request is over, whoever ended it. */
   onOver(callback: () => void): void {
     this.#onOver = callback
@@ -151,6 +160,7 @@
       urgency: urgencyOf(organisation?.priority ?? 0, route.priority),
     }
     this.tried.push(upstream.run)
+    this.#sentAt = clock.now()
     this.#tries.noteSent()
     this.#log.begin(upstream.listed, fields.model)
     const exchange = exchangeWithUpstream(
@@ -240,8 +250,23 @@
    * eight engines crashed or lost power at once, their broken answers made a good version look bad, and it was rolled back.
    */
   noteBroken(upstream: Upstream): void {
-    void this.services.reachability.check(upstream).then(isReachable => {
-      if (isReachable) this.noteAnswer(upstream, false)
+    void this.services.reachability.check(upstream).then(reachability => {
+      if (reachability === 'open') this.noteAnswer(upstream, false)
+      else if (reachability === 'refused') this.#noteCrash(upstream)
+    })
+  }
+
+  /** The process of an upstream that had taken this request has ended. */
+  #noteCrash({ run, listed }: Upstream): void {
+    const { log, metrics, clock } = this.services
+    metrics.count('crashes', 'aboard')
+    log.note('upstream-crashed', {
+      upstream: run,
+      service: listed.service,
+      request: this.digest,
+      organisation: this.admitted.organisation?.name,
+      route: this.route.name,
+      after: Math.round(clock.now() - this.#sentAt),
     })
   }
 
@@ -317,6 +342,7 @@
     services.log.request(
       {
         id: fields.id,
+        ...(this.#digest !== undefined && { request: this.#digest }),
         route: route.name,
         service: admitted.service,
         organisation: organisation?.name,
--- a/packages/gateway/src/tasks/reachabilityWatch.ts
+++ b/packages/gateway/src/tasks/reachabilityWatch.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from '@yewkeel/decisions'
+import { OPENS_WITHIN } from '../node/connectInTime.js'
 import type { Upstream } from './upstreamDirectory.js'
 
 export interface ReachabilityWatchOptions {
@@ -20,6 +21,9 @@
 /** An upstream that cannot be reached is probed this often, so that no request has to find out that it is back. */
 const PROBE_AGAIN_EVERY: Milliseconds = 500
 
+/** How an upstream took a probe. `refused`: at once, so that its machine stands and its process does not. */
+type Reachability = 'open' | 'refused' | 'silent'
+
 interface Probing {
   /** When the silence began that is being looked into. */
   silentSince: Milliseconds
@@ -34,7 +38,7 @@
  */
 export class ReachabilityWatch {
   readonly #probing = new Map<Upstream, Probing>()
-  readonly #running = new Map<Upstream, Promise<boolean>>()
+  readonly #running = new Map<Upstream, Promise<Reachability>>()
 
   constructor(private readonly options: ReachabilityWatchOptions) {}
 
@@ -57,8 +61,8 @@
     void this.check(upstream)
   }
 
-  /** Whether an upstream takes connections now. One that neither does nor spoke meanwhile is told of as unreachable. */
-  check(upstream: Upstream): Promise<boolean> {
+  /** Looks whether an upstream takes connections now. One that neither does nor spoke meanwhile is told of as unreachable. */
+  check(upstream: Upstream): Promise<Reachability> {
     const running = this.#running.get(upstream)
     if (running) return running
     const checking = this.#check(upstream)
@@ -66,14 +70,14 @@
     return checking
   }
 
-  async #check(upstream: Upstream): Promise<boolean> {
+  async #check(upstream: Upstream): Promise<Reachability> {
     const { clock, probe, onUnreachable } = this.options
     const askedAt = clock.now()
     const isReachable = await probe(upstream)
     this.#running.delete(upstream)
-    if (isReachable || upstream.health.lastHeardAt > askedAt) return true
+    if (isReachable || upstream.health.lastHeardAt > askedAt) return 'open'
     onUnreachable(upstream)
-    return false
+    return clock.now() - askedAt < OPENS_WITHIN ? 'refused' : 'silent'
   }
 
   /** Probes an upstream until it can be reached again, or is listed no more. */
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -174,4 +174,4 @@
 }
 
 export type CounterName =
-  'requests' | 'arrivals' | 'exchanges' | 'retries' | 'ejections' | 'storeCalls'
+  'requests' | 'arrivals' | 'crashes' | 'exchanges' | 'retries' | 'ejections' | 'storeCalls'
