--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -47,6 +47,8 @@
   sent(type: GatewayMessage['type']): number
   /** Events in the logs of all boxes. */
   notes: { event: string; at?: Milliseconds }[]
+  /** Lines of requests that came to their end, of all boxes. */
+  lines: { request?: string; outcome?: string; status?: number }[]
   /** Adds boxes and starts them at the same moment. */
   add(count: number): FleetBox[]
   /** Boxes end without a word, and start again under their names. */
@@ -70,6 +72,8 @@
   configuration?: Configuration
   dialect?: Dialect
   openChannels?: OpenChannels
+  /** Whether an address takes connections. All do where it is left out. */
+  probe?(address: string): Promise<boolean>
   seed?: number
 }
 
@@ -81,12 +85,14 @@
     configuration = CONFIGURATION,
     dialect,
     openChannels,
+    probe = () => Promise.resolve(true),
     seed = 0,
   }: FleetOptions = {},
 ): Fleet {
   const clock = new ManualClock()
   const boxes: FleetBox[] = []
   const notes: Fleet['notes'] = []
+  const lines: Fleet['lines'] = []
   const store: Fleet['store'] = {
     isOut: false,
     calls: 0,
@@ -175,11 +181,11 @@
         random: createSeededRandom(seed * 1_000 + number),
         log: {
           note: (event, fields) => void notes.push({ event, at: clock.now(), ...fields }),
-          request() {},
+          request: fields => void lines.push(fields),
         },
         metrics: createGatewayMetrics(),
         dialect: dialect ?? ({} as Dialect),
-        ...(openChannels && { openChannels, probe: () => Promise.resolve(true) }),
+        ...(openChannels && { openChannels, probe }),
         store: storeOf(() => box),
         transport: network.join(identity),
         onConfiguration() {},
@@ -191,6 +197,7 @@
   return {
     sent: type => network.sent.get(type) ?? 0,
     notes,
+    lines,
     clock,
     boxes,
     store,
