What is held for a time lapses while the machine is suspended

Cause: the clock was the runtime's steady one, which stands still then. Keys, proofs, leases, deadlines and verdicts lasted longer by the suspension. Timers that fell due fire at once. The manual clock can be suspended.

--- a/packages/decisions/src/node/manualClock.ts
+++ b/packages/decisions/src/node/manualClock.ts
@@ -44,20 +44,28 @@
       if (!next || next.at > end) break
       this.#pop()
       if (next.cancelled) continue
-      this.#now = next.at
+      this.#now = Math.max(this.#now, next.at)
       next.callback()
       await settled()
     }
     this.#now = end
   }
 
+  /**
+   * Time goes on by `span` and nothing runs, as for a machine that is suspended. What fell due meanwhile fires late, with the next
+   * move: whatever is called before that comes first.
+   */
+  suspend(span: Milliseconds): void {
+    this.#now += span
+  }
+
   /** Moves time on without awaiting, for code that uses timers alone. */
   advanceSync(span: Milliseconds): void {
     const end = this.#now + span
     for (let next = this.#heap[0]; next && next.at <= end; next = this.#heap[0]) {
       this.#pop()
       if (next.cancelled) continue
-      this.#now = next.at
+      this.#now = Math.max(this.#now, next.at)
       next.callback()
     }
     this.#now = end
--- a/packages/decisions/src/types/clock.ts
+++ b/packages/decisions/src/types/clock.ts
@@ -11,7 +11,7 @@
  * so that a test can run a whole box on a clock that it moves itself.
  */
 export interface Clock {
-  /** Monotonic time. Goes on while the process is paused, so that a paused holder sees its lease lapse. */
+  /** Monotonic time. Goes on while the process is paused or its machine is suspended, so that a holder sees its lease lapse. */
   now(): Milliseconds
   /** Time since the Unix epoch, for records that people read. Never compared between boxes. */
   wallTime(): Milliseconds
