A request under which upstreams end is suspected, tried alone, told of and condemned; a whole answer clears it

Cause: a box took the end of an upstream for the upstream's fault alone, sent the request to the next, and forgot it with the attempt; no box told another. Class: a retry without memory; evidence of a cause that many share (all boxes, all attempts) kept by nobody. Ruled out: news that come late (there were none); overload (a killer alone brings it about). Change: crashes (a broken answer whose upstream refuses connections, and does not leave) are held against the digests of all that were aboard, told along the ring within some 10 ms, merged as the newest of (answers, crashes, excuses). A suspect is run by one box at a time, apart from other suspects, from the second crash on at an upstream that gets nothing else; the third condemns. Condemned: 502 at once, no retry-after, outcome 'condemned'; in the store, told to boxes that start; 10 min. At most 2,000 requests are remembered. A box that stood still takes dead connections for its own doing.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -1,4 +1,4 @@
-import { every, type PeerIdentity, type PeerTransport } from '@yewkeel/box'
+import { every, voterOf, type PeerIdentity, type PeerTransport } from '@yewkeel/box'
 import {
   createConfidenceGains,
   createRetryShares,
@@ -12,9 +12,12 @@
 import { handleCaller } from './requests/handleCaller.js'
 import { StallWatch } from './requests/stallWatch.js'
 import { ColdGuard } from './tasks/coldGuard.js'
+import { CondemnedTask } from './tasks/condemnedTask.js'
+import { CrashSuspects } from './tasks/crashSuspects.js'
 import { EngineWork } from './tasks/engineWork.js'
 import { EntryTask } from './tasks/entryTask.js'
 import { OperatorTask } from './tasks/operatorTask.js'
+import { PauseWatch } from './tasks/pauseWatch.js'
 import { PeerTask } from './tasks/peerTask.js'
 import { ReachabilityWatch } from './tasks/reachabilityWatch.js'
 import { RolloutTask } from './tasks/rolloutTask.js'
@@ -121,6 +124,23 @@
     boxesVersion: () => peers.entriesVersion,
     boxes: () => peers.places(),
   })
+  const suspects: CrashSuspects = new CrashSuspects({
+    holder: voterOf(identity),
+    clock,
+    random,
+    log,
+    metrics,
+    tell: news => peers.tellSuspects(news),
+    onCondemned: entry => void condemned.write(entry),
+  })
+  const condemned = new CondemnedTask({
+    clock,
+    log,
+    store,
+    suspects,
+    isFirstStart: settings.isFirstStart,
+    isReader,
+  })
   const upstreams: UpstreamDirectory = new UpstreamDirectory({
     clock,
     random,
@@ -133,6 +153,7 @@
     namesService: name =>
       operators.index === undefined || operators.index.service(name) !== undefined,
     knowsFarWork: () => peers.isMesh,
+    suspects,
     onUnreachable(upstream) {
       services.stalls.giveUpOn(upstream)
       reachability.awaitReturn(upstream)
@@ -167,7 +188,7 @@
     operators,
     upstreams: upstreams.list,
     rollouts,
-    isReader: () => !isWaitingForOthers() && rank() < READERS,
+    isReader,
     boxCount: () => services.boxCount(),
     onStoreChange: announce,
     newsWithin: () => settings.newsWithin,
@@ -235,6 +256,11 @@
     onStoreClock: (storeNow, at) => rollouts.noteStoreClock(storeNow, at),
     currentOperators: () => operators.state,
     currentUpstreams,
+    onSuspects(entries, isComplete) {
+      condemned.isComplete ||= isComplete
+      return suspects.take(entries)
+    },
+    currentSuspects: () => ({ entries: suspects.all(), isComplete: condemned.isComplete }),
   })
 
   function currentUpstreams() {
@@ -276,6 +302,11 @@
     return peers.live().length === 0 && clock.now() - startedAt < HEARD_OTHERS_WITHIN
   }
 
+  /** Whether this box reads the store for all others. */
+  function isReader(): boolean {
+    return !isWaitingForOthers() && rank() < READERS
+  }
+
   /** This box's place by name among the boxes that serve. Those that have lost the store come after those that have not. */
   function rank(): number {
     const serving = peers.live().filter(peer => peer.state === 'serving')
@@ -310,6 +341,8 @@
     gains: createConfidenceGains(),
     stalls: new StallWatch(clock, reachability),
     reachability,
+    suspects,
+    pauses: new PauseWatch(clock),
     boxCount: () => peers.live().length + 1,
     sharingBoxes: () => (peers.hasEntries ? knownBoxCount() : Infinity),
     channelLimit(service) {
@@ -335,6 +368,8 @@
       reader.start()
       services.stalls.start()
       entries.start()
+      services.pauses.start()
+      condemned.start()
       rounds.push(
         every(clock, GOSSIP_EVERY, () => peers.tick()),
         every(clock, ROLLOUT_EVERY, () => rollouts.tick()),
@@ -371,6 +406,7 @@
       entries.stop()
       for (const round of rounds) round.cancel()
       reader.stop()
+      condemned.stop()
       await transport.close()
     },
   }
--- a/packages/gateway/src/requests/forwardCall.ts
+++ b/packages/gateway/src/requests/forwardCall.ts
@@ -25,7 +25,7 @@
 /** Forwards a call whose answer is passed on whole, trying again where the route allows it. */
 export async function forwardCall(run: ForwardedRequest): Promise<void> {
   let last: WholeAnswer | undefined
-  while (run.takeTry()) {
+  while ((await run.mayRun()) && run.takeTry()) {
     const upstream = await run.findUpstream()
     if (run.isOver) return
     if (!upstream) break
@@ -41,6 +41,7 @@
     if (last?.kind === 'answer') return run.deliver(last.head, last.body)
     if (run.mayHaveRun && run.route.kind !== 'safe') break
   }
+  await run.lookedAt()
   if (run.isOver) return
   if (last?.kind === 'failure' && !PROMISES_NOT_RUN.has(last.head.status))
     return run.deliver(last.head, last.body)
@@ -77,6 +78,7 @@
     run.noteRefusal(head)
   } else {
     run.noteAnswer(upstream, kind === 'answer')
+    if (kind !== 'spoiled') run.noteWhole(head)
     if (kind === 'answer') run.noteTime(upstream, undefined, 'start', took)
   }
   return { kind, head, body }
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -45,7 +45,7 @@
   run.onDeadline(() => {
     if (relay.hasStarted) breakOff(run, 'out of time')
   })
-  while (run.takeTry()) {
+  while ((await run.mayRun(relay.hasStarted)) && run.takeTry()) {
     const prompt = run.services.work.promptWork(run.admitted.fields, model ?? '', models)
     const upstream = await run.findUpstream(prompt)
     if (run.isOver) return
@@ -65,6 +65,7 @@
     last = outcome.type === 'answer' ? outcome : undefined
     if (run.mayHaveRun && !isResumable) break
   }
+  await run.lookedAt()
   if (run.isOver) return
   if (relay.hasStarted) return breakOff(run, 'the stream broke and could not go on elsewhere')
   if (last && !last.head.fields.isNotRun && last.head.fields.isSigned && last.head.status === 500)
@@ -229,11 +230,12 @@
     const { run, upstream, relay } = this
     const head = this.#head!
     if (!isStream(head)) return this.#takeWhole(head)
-    if (relay.hasRest || !relay.hasStarted) return this.#fail('spoiled', true, 'it ended early')
+    if (relay.hasRest || !relay.hasStarted) return this.#fail('reset', true, 'it ended early')
     if (relay.isFramed && !head.fields.isFramed)
       return this.#fail('spoiled', true, 'its end cannot be seen')
     run.noteTry(upstream, 'good', 'complete')
     run.noteAnswer(upstream, true)
+    run.noteWhole(head)
     if (this.#pieces >= LEAST_PACE_PIECES) this.#notePace()
     this.#settle({ type: 'complete' })
   }
@@ -252,6 +254,7 @@
       run.noteRefusal(head)
     } else {
       run.noteAnswer(upstream, false)
+      run.noteWhole(head)
     }
     this.#settle({ type: 'answer', head, body: Buffer.concat(this.#body) })
   }
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -15,13 +15,16 @@
   type ExchangeHandler,
   type RunningExchange,
 } from './exchangeWithUpstream.js'
-import { requestDigest } from './requestDigest.js'
+import { SuspectRun } from './suspectRun.js'
 import { TryAccount } from './tryAccount.js'
 import { TryLog } from './tryLog.js'
 
 /** The status of whoever is not the process that the request names. */
 export const MISDIRECTED = 421
 
+/** To a request that is run no more. */
+const CONDEMNED = 502
+
 /** Time that is kept back for the way to the upstream and back. */
 const TIME_KEPT_BACK: Milliseconds = 8
 /** How long a request waits for a connection of an upstream to come free, as a share of its latency objective. */
@@ -38,13 +41,12 @@
   readonly #tries: TryAccount
   isOver = false
   readonly #log: TryLog
+  readonly #suspect: SuspectRun
   /** Versions that the request may run on, the same for all of its tries unless one of them is rolled back. */
   readonly admits: (version: string) => boolean
   /** The newest opinion that a model gave of its answer to this request. */
   doubted: { model: string; confidence: number } | undefined
   #exchange: RunningExchange | undefined
-  #digest: string | undefined
-  #sentAt: Milliseconds = 0
   #retryAfter: Milliseconds | undefined
   readonly #timer: { cancel(): void }
   #onOver: (() => void) | undefined
@@ -56,6 +58,7 @@
   ) {
     const { clock, rollouts, retries, metrics } = services
     this.#log = new TryLog(clock, admitted.request.receivedAt)
+    this.#suspect = new SuspectRun(services, admitted)
     this.admits = rollouts.admission(admitted.service, admitted.fields.session)
     this.#tries = new TryAccount({
       clock,
@@ -81,10 +84,37 @@
     return this.#tries.mayHaveRun
   }
 
-  /** The same for each attempt at the same request. Worked out only once it is asked for. */
-  get digest(): string {
-    this.#digest ??= requestDigest(this.services.settings.peerSecret, this.admitted)
-    return this.#digest
+  /**
+   * Whether the request may be sent to an upstream now. One that must not be is answered at once; `hasBegun`: its answer has
+   * begun, and is broken off.
+   */
+  async mayRun(hasBegun = false): Promise<boolean> {
+    const turn = await this.#suspect.awaitTurn(this.admitted.deadline - 2 * TIME_KEPT_BACK)
+    if (this.isOver) return false
+    if (turn === 'may-run') return true
+    if (hasBegun) {
+      this.answer.abort()
+      this.finish(turn, undefined)
+    } else if (turn === 'condemned') this.#refuseForGood()
+    else this.giveUp('it is run elsewhere, and upstreams ended under it')
+    return false
+  }
+
+  /** Resolves once it is known whether the last try's upstream has ended. */
+  lookedAt(): Promise<void> {
+    return this.#suspect.lookedAt()
+  }
+
+  /**
+   * Nobody runs this request. It has run, so that no status may say that it did not; none asks it to come back.
+   */
+  #refuseForGood(): void {
+    const headers = this.services.dialect.writeRefusal(this.admitted.fields.id, undefined)
+    this.answer.start(CONDEMNED, headers, true)
+    this.answer.end(
+      `upstreams ended under this request, ${this.#suspect.crashes} in a row: it is not run again for now`,
+    )
+    this.finish('condemned', CONDEMNED)
   }
 
   /** Called once when the request is over, whoever ended it. */
@@ -128,6 +158,7 @@
       ...(prompt && { prompt }),
       bodyBytes: this.admitted.request.body.length,
       channelLimit: this.services.channelLimit(service),
+      crashes: this.#suspect.crashes,
     }
   }
 
@@ -160,7 +191,7 @@
       urgency: urgencyOf(organisation?.priority ?? 0, route.priority),
     }
     this.tried.push(upstream.run)
-    this.#sentAt = clock.now()
+    this.#suspect.noteSent(upstream)
     this.#tries.noteSent()
     this.#log.begin(upstream.listed, fields.model)
     const exchange = exchangeWithUpstream(
@@ -250,24 +281,12 @@
    * eight engines crashed or lost power at once, their broken answers made a good version look bad, and it was rolled back.
    */
   noteBroken(upstream: Upstream): void {
-    void this.services.reachability.check(upstream).then(reachability => {
-      if (reachability === 'open') this.noteAnswer(upstream, false)
-      else if (reachability === 'refused') this.#noteCrash(upstream)
-    })
+    this.#suspect.lookAt(upstream, () => this.noteAnswer(upstream, false))
   }
 
-  /** The process of an upstream that had taken this request has ended. */
-  #noteCrash({ run, listed }: Upstream): void {
-    const { log, metrics, clock } = this.services
-    metrics.count('crashes', 'aboard')
-    log.note('upstream-crashed', {
-      upstream: run,
-      service: listed.service,
-      request: this.digest,
-      organisation: this.admitted.organisation?.name,
-      route: this.route.name,
-      after: Math.round(clock.now() - this.#sentAt),
-    })
+  /** A whole answer came, and its end could be seen: the request crashes nobody. */
+  noteWhole(head: AnswerHead): void {
+    if (head.fields.isFramed) this.#suspect.noteWhole()
   }
 
   noteConfidence(confidence: number): void {
@@ -316,6 +335,7 @@
     this.isOver = true
     this.#timer.cancel()
     this.#exchange?.cancel()
+    this.#suspect.endTrial()
     this.#writeLine(outcome, status)
     this.#onOver?.()
   }
@@ -342,7 +362,7 @@
     services.log.request(
       {
         id: fields.id,
-        ...(this.#digest !== undefined && { request: this.#digest }),
+        ...(this.#suspect.knownDigest !== undefined && { request: this.#suspect.knownDigest }),
         route: route.name,
         service: admitted.service,
         organisation: organisation?.name,
--- /dev/null
+++ b/packages/gateway/src/tasks/crashSuspects.ts
@@ -0,0 +1,390 @@
+import {
+  MOST_EXCUSED,
+  mergeSuspicion,
+  noteCrashUnder,
+  noteWholeAnswer,
+  sleep,
+  UNSUSPECTED,
+  type Clock,
+  type Milliseconds,
+  type Random,
+  type Suspicion,
+  type SuspicionAtSend,
+} from '@yewkeel/decisions'
+import type { EventLog, GatewayMetrics } from '../types/ports.js'
+import type { CondemnedEntry, SuspectNews, ToldTrial } from '../types/suspects.js'
+import { RecentCrashes } from './recentCrashes.js'
+
+/** The run of an upstream that ended, and the request that was aboard. */
+export interface CrashUnder {
+  request: string
+  atSend: SuspicionAtSend
+  upstream: string
+  service: string
+  organisation?: string | undefined
+  route: string
+}
+
+/** Whether a request may be run now. */
+export type Turn =
+  | { type: 'free' }
+  /** It may be run by this request alone, which says how that ends. */
+  | { type: 'trial'; trial: Trial }
+  | { type: 'condemned' }
+  /** It is still run elsewhere, and time is up. */
+  | { type: 'busy' }
+
+/** One run of a suspect, here or at another box. */
+export interface Trial extends ToldTrial {
+  /** Whoever holds it may have ended: it stands no longer than this. */
+  until: Milliseconds
+}
+
+export interface CrashSuspectsOptions {
+  /** The run of this box. */
+  holder: string
+  clock: Clock
+  random: Random
+  log: EventLog
+  metrics: GatewayMetrics
+  /** Tells the other boxes. */
+  tell(news: readonly SuspectNews[]): void
+  /** This box has condemned a request. */
+  onCondemned(entry: CondemnedEntry): void
+}
+
+/**
+ * A run that has gone on for this long did not crash its upstream as it began; others need not wait for its end. Crashes seen came 45 to 120 ms after
+ * the run began, and up to 0.3 s after it was sent.
+ */
+const TRIAL_TIME: Milliseconds = 1_000
+/** Two boxes that claim a trial at the same moment have heard of each other by then: news take some 10 ms in a mesh. */
+const SETTLE_TIME: Milliseconds = 20
+/** Whoever waits for another's trial looks again after this. */
+const LOOK_AGAIN: Milliseconds = 12
+/** By then other boxes have told of what else ended at the same moment. */
+const DELIBERATION: Milliseconds = 150
+/** After an excuse each suspect waits for a time of its own up to this: five killers that came at the same moment would excuse each other. */
+const APART: Milliseconds = 400
+/** That a request was cleared is kept while runs of it may be under way that were sent before: the longest go on for 25 s. */
+const CLEARED_FOR: Milliseconds = 30_000
+/** What is held against a request that comes no more is forgotten after this, and what it was condemned for ... */
+const SUSPECTED_FOR: Milliseconds = 5 * 60_000
+/** ... after this: it is then tried again, at three upstreams at the most. Upstreams may have been mended meanwhile. */
+export const CONDEMNED_FOR: Milliseconds = 10 * 60_000
+/**
+ * Requests of which something is known. A crash makes suspects of all aboard, 64 on a full engine; beyond this those are forgotten first of
+ * which nothing was heard for longest, and condemned ones last. 0.4 MB.
+ */
+export const MOST_SUSPECTS = 2_000
+/** A suspect under which so many ended is tried at an upstream that gets nothing else meanwhile. */
+export const ALONE_FROM = 2
+/** In the log and the store. */
+const MOST_TOLD_UPSTREAMS = 5
+/** In their order. */
+const TRIAL_STATES: ToldTrial['state'][] = ['claimed', 'sent', 'over']
+
+/** Suspects on trial by the runs of upstreams, and whether these get nothing else meanwhile. */
+export type TrialsAt = ReadonlyMap<string, { count: number; isReserved: boolean }>
+
+interface Suspect extends Suspicion {
+  request: string
+  /** When something of it was last heard that changed. */
+  changedAt: Milliseconds
+  trial?: Trial | undefined
+  /** A trial has outlasted its time since the last crash. */
+  isFree: boolean
+  /** Not run before. */
+  heldUntil: Milliseconds
+  /** Newest trials that were told of, by their holders. */
+  told: Map<string, ToldTrial>
+  upstreams: string[]
+}
+
+/**
+ * What the boxes know of requests that were at an upstream when its process ended.
+ *
+ * A box that takes such an end for the upstream's fault alone sends the request on to the next, and so does each other box: 37 upstreams
+ * ended under one stream. So each crash is held against all requests that were aboard, and told; a whole answer clears the request,
+ * so that the innocent are cleared by their next run. A suspect is run by one box at a time, away from other suspects,
+ * and from the second crash on at an upstream that gets nothing else meanwhile, so that the third crash says whose doing it was.
+ */
+export class CrashSuspects {
+  readonly #suspects = new Map<string, Suspect>()
+  /** Those that are on trial somewhere; some of their trials may be over. */
+  readonly #onTrial = new Set<Suspect>()
+  readonly #crashes: RecentCrashes
+  /** Condemned requests that have lapsed and were not yet told of as such. */
+  #lapsed: string[] = []
+  #trials = 0
+
+  constructor(private readonly options: CrashSuspectsOptions) {
+    this.#crashes = new RecentCrashes(options.clock)
+  }
+
+  /** Nothing is held against any request, so that none need be looked up. */
+  get isEmpty(): boolean {
+    return this.#suspects.size === 0
+  }
+
+  /** What is held against a request now. */
+  find(request: string): Suspicion {
+    return this.#find(request) ?? UNSUSPECTED
+  }
+
+  /** Waits until a request may be run. */
+  async takeTurn(request: string, until: Milliseconds): Promise<Turn> {
+    const { clock } = this.options
+    for (;;) {
+      const suspect = this.#find(request)
+      if (!suspect || suspect.crashes === 0) return { type: 'free' }
+      if (suspect.isCondemned) return { type: 'condemned' }
+      const trial = this.#trialOf(suspect)
+      if (suspect.isFree) return { type: 'free' }
+      if (!trial && clock.now() >= suspect.heldUntil) {
+        const own = this.#claim(suspect, TRIAL_TIME)
+        this.#tell(suspect)
+        await sleep(clock, SETTLE_TIME)
+        if (suspect.trial === own) return { type: 'trial', trial: own }
+        continue
+      }
+      if (clock.now() >= until) return { type: 'busy' }
+      await sleep(clock, LOOK_AGAIN)
+    }
+  }
+
+  /** A trial of this box. `stands` at most. */
+  #claim(suspect: Suspect, stands: Milliseconds): Trial {
+    const { clock, holder } = this.options
+    const until = clock.now() + stands
+    const trial: Trial = { holder, number: ++this.#trials, state: 'claimed', until }
+    this.#setTrial(suspect, trial)
+    return trial
+  }
+
+  #setTrial(suspect: Suspect, trial: Trial): void {
+    suspect.trial = trial
+    this.#onTrial.add(suspect)
+  }
+
+  /** A suspect on trial here was sent to an upstream. */
+  noteSent(request: string, trial: Trial, upstream: string): void {
+    const suspect = this.#suspects.get(request)
+    if (suspect?.trial !== trial) return
+    trial.state = 'sent'
+    trial.upstream = upstream
+    trial.until = this.options.clock.now() + TRIAL_TIME
+    this.#tell(suspect)
+  }
+
+  /** A trial here has ended, whatever came of it. */
+  endTrial(request: string, trial: Trial): void {
+    const suspect = this.#suspects.get(request)
+    if (suspect?.trial !== trial) return
+    trial.state = 'over'
+    this.#tell(suspect)
+    suspect.trial = undefined
+  }
+
+  /** The request came to a whole answer. */
+  noteWhole(request: string): void {
+    const suspect = this.#find(request)
+    if (!suspect || suspect.crashes === 0) return
+    if (suspect.isCondemned) this.options.log.note('request-cleared', { request })
+    this.#change(suspect, noteWholeAnswer(suspect))
+    this.#tell(suspect)
+  }
+
+  /** An upstream has ended with a request aboard. */
+  noteCrash(crash: CrashUnder): void {
+    const { request, upstream, service, atSend } = crash
+    const { clock } = this.options
+    this.#crashes.note(upstream, service, request, atSend.crashes > 0)
+    const suspect = this.#find(request) ?? this.#add(request, { ...UNSUSPECTED, ...atSend })
+    suspect.upstreams = [...suspect.upstreams, upstream].slice(-MOST_TOLD_UPSTREAMS)
+    if (atSend.crashes === 0) return this.#count(suspect, crash, false)
+    // Nobody runs it until it is known what else ended at the same moment.
+    this.#claim(suspect, DELIBERATION + SETTLE_TIME)
+    this.#tell(suspect, { upstream, service, wasSuspect: atSend.crashes > 0 })
+    clock.after(DELIBERATION, () => this.#count(suspect, crash, this.#isExcused(suspect, crash)))
+  }
+
+  #isExcused({ excused }: Suspect, { request, upstream }: CrashUnder): boolean {
+    return excused < MOST_EXCUSED && this.#crashes.isOneOfMany(upstream, request)
+  }
+
+  #count(suspect: Suspect, crash: CrashUnder, isExcused: boolean): void {
+    const { request, upstream, service, atSend } = crash
+    const next = noteCrashUnder(suspect, atSend, isExcused)
+    if (next === suspect) return
+    this.#change(suspect, next)
+    if (isExcused) {
+      this.options.log.note('suspect-excused', { request, upstream, excused: suspect.excused })
+      suspect.heldUntil = this.options.clock.now() + this.options.random() * APART
+    }
+    this.#tell(suspect, { upstream, service, wasSuspect: atSend.crashes > 0 })
+    if (suspect.isCondemned) this.#condemn(suspect, crash)
+  }
+
+  #condemn({ request, crashes, upstreams }: Suspect, { organisation, route }: CrashUnder): void {
+    const { log, metrics, onCondemned } = this.options
+    metrics.count('crashes', 'condemned')
+    log.note('request-condemned', { request, organisation, route, crashes, upstreams })
+    onCondemned({ request, crashes, ...(organisation && { organisation }), route, upstreams })
+  }
+
+  /** Condemned by runs of boxes before this one. The others are told, too: they start at the same moment. */
+  takeCondemned(entries: readonly CondemnedEntry[]): void {
+    const news = entries.map(({ request, crashes }) => ({
+      ...UNSUSPECTED,
+      request,
+      crashes,
+      isCondemned: true,
+    }))
+    this.options.tell(this.take(news))
+  }
+
+  /** Takes what another box tells. Gives what of it was news. */
+  take(news: readonly SuspectNews[]): SuspectNews[] {
+    return news.filter(told => this.#take(told))
+  }
+
+  #take(told: SuspectNews): boolean {
+    const { request, epoch, crashes, excused, isCondemned, trial, crashed } = told
+    if (crashed) this.#crashes.note(crashed.upstream, crashed.service, request, crashed.wasSuspect)
+    const suspect = this.#find(request) ?? this.#add(request, UNSUSPECTED)
+    const next = mergeSuspicion(suspect, { epoch, crashes, excused, isCondemned })
+    const isNews = next !== suspect
+    if (isNews) {
+      this.#change(suspect, next)
+      if (isCondemned) this.options.log.note('request-condemned', { request, crashes, told: true })
+    }
+    const isSame = suspect.epoch === epoch && suspect.crashes === crashes
+    return (isSame && trial !== undefined && this.#takeTrial(suspect, trial)) || isNews
+  }
+
+  /** True if that is news. */
+  #takeTrial(suspect: Suspect, told: ToldTrial): boolean {
+    if (told.holder === this.options.holder) return false
+    if (!isLater(told, suspect.told.get(told.holder))) return false
+    suspect.told.set(told.holder, told)
+    const trial = this.#trialOf(suspect)
+    if (told.state === 'over') {
+      if (trial?.holder === told.holder) suspect.trial = undefined
+      return true
+    }
+    // Of two that claim at the same moment the one goes first whose name does; a run that was sent cannot be taken back.
+    const isFirst = !trial || trial.holder === told.holder || told.holder < trial.holder
+    if (trial?.state === 'sent' || !isFirst) return true
+    this.#setTrial(suspect, { ...told, until: this.options.clock.now() + TRIAL_TIME })
+    return true
+  }
+
+  /** All that is known, for a box that has just been linked. */
+  all(): SuspectNews[] {
+    return [...this.#suspects.values()].map(newsOf)
+  }
+
+  /** Where suspects are on trial now. */
+  trialsAt(): TrialsAt {
+    const trials = new Map<string, { count: number; isReserved: boolean }>()
+    for (const suspect of this.#onTrial) {
+      const trial = this.#trialOf(suspect)
+      if (!trial) this.#onTrial.delete(suspect)
+      const upstream = trial?.upstream
+      if (upstream === undefined) continue
+      const at = trials.get(upstream) ?? { count: 0, isReserved: false }
+      at.count++
+      at.isReserved ||= suspect.crashes >= ALONE_FROM
+      trials.set(upstream, at)
+    }
+    return trials
+  }
+
+  /** Forgets what has lapsed. Gives the condemned requests among it. */
+  forgetLapsed(): string[] {
+    for (const { request } of this.#suspects.values()) this.#find(request)
+    const lapsed = this.#lapsed
+    this.#lapsed = []
+    return lapsed
+  }
+
+  /** The trial that stands. One that has outlasted its time leaves the request free to be run until it crashes another. */
+  #trialOf(suspect: Suspect): Trial | undefined {
+    const { trial } = suspect
+    if (!trial || this.options.clock.now() < trial.until) return trial
+    suspect.trial = undefined
+    if (trial.state === 'sent') suspect.isFree = true
+    return undefined
+  }
+
+  #find(request: string): Suspect | undefined {
+    const suspect = this.#suspects.get(request)
+    if (!suspect || !this.#isLapsed(suspect)) return suspect
+    this.#suspects.delete(request)
+    if (suspect.isCondemned) this.#lapsed.push(request)
+    return undefined
+  }
+
+  #isLapsed({ changedAt, crashes, isCondemned }: Suspect): boolean {
+    const heldFor = isCondemned ? CONDEMNED_FOR : crashes > 0 ? SUSPECTED_FOR : CLEARED_FOR
+    return this.options.clock.now() - changedAt >= heldFor
+  }
+
+  #add(request: string, suspicion: Suspicion): Suspect {
+    if (this.#suspects.size >= MOST_SUSPECTS) this.#forgetOldest()
+    const changedAt = this.options.clock.now()
+    const suspect: Suspect = {
+      ...suspicion,
+      request,
+      changedAt,
+      isFree: false,
+      heldUntil: -Infinity,
+      told: new Map(),
+      upstreams: [],
+    }
+    this.#suspects.set(request, suspect)
+    return suspect
+  }
+
+  #forgetOldest(): void {
+    let oldest: string | undefined
+    for (const { request, isCondemned } of this.#suspects.values()) {
+      oldest ??= request
+      if (isCondemned) continue
+      oldest = request
+      break
+    }
+    if (oldest !== undefined) this.#suspects.delete(oldest)
+  }
+
+  /** Those that changed last stand last. */
+  #change(suspect: Suspect, { epoch, crashes, excused, isCondemned }: Suspicion): void {
+    Object.assign(suspect, { epoch, crashes, excused, isCondemned })
+    Object.assign(suspect, { isFree: false, trial: undefined })
+    suspect.changedAt = this.options.clock.now()
+    this.#suspects.delete(suspect.request)
+    this.#suspects.set(suspect.request, suspect)
+  }
+
+  #tell(suspect: Suspect, crashed?: SuspectNews['crashed']): void {
+    this.options.tell([{ ...newsOf(suspect), ...(crashed && { crashed }) }])
+  }
+}
+
+/** Whether what is told of a holder's trial is of a later one, or of a later state of the same. */
+function isLater(told: ToldTrial, known: ToldTrial | undefined): boolean {
+  if (!known || told.number !== known.number) return !known || told.number > known.number
+  return TRIAL_STATES.indexOf(told.state) > TRIAL_STATES.indexOf(known.state)
+}
+
+function newsOf(suspect: Suspect): SuspectNews {
+  const { request, epoch, crashes, excused, isCondemned, trial } = suspect
+  const told = trial && {
+    holder: trial.holder,
+    number: trial.number,
+    state: trial.state,
+    ...(trial.upstream !== undefined && { upstream: trial.upstream }),
+  }
+  return { request, epoch, crashes, excused, isCondemned, ...(told && { trial: told }) }
+}
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -21,8 +21,10 @@
   UpstreamsMessage,
 } from '../types/gossip.js'
 import type { BoxEntry, EventLog, OperatorState } from '../types/ports.js'
+import type { SuspectNews } from '../types/suspects.js'
 import { packHearsay, unpackHearsay, type Hearsay } from './hearsay.js'
 import { KnownBoxes, SILENT_AFTER, type KnownBox } from './knownBoxes.js'
+import { NewsBatch } from './newsBatch.js'
 import type { Verdict } from './rolloutTask.js'
 import type { BoxAnswers } from './versionJudge.js'
 
@@ -62,6 +64,9 @@
   onStoreClock(storeNow: Milliseconds, at: Milliseconds): void
   currentOperators(): OperatorState
   currentUpstreams(): Omit<UpstreamsMessage, 'stamp' | 'type'>
+  /** Gives what of it was news. `isComplete`: nothing that was condemned before is missing. */
+  onSuspects(entries: readonly SuspectNews[], isComplete: boolean): SuspectNews[]
+  currentSuspects(): { entries: SuspectNews[]; isComplete: boolean }
 }
 
 /**
@@ -76,8 +81,8 @@
  * a message among 91 boxes; told at every round, gossip was by its size a third of what they send between data centres.
  */
 const HEARSAY_EVERY: Milliseconds = 800
-/** Upstreams mostly crash together: what is found out within this goes into one message. */
-const TELL_GONE_AFTER: Milliseconds = 5
+/** Upstreams mostly crash together, and requests are aboard in numbers: what is found out within this goes into one message. */
+const TELL_NEWS_AFTER: Milliseconds = 5
 /** Rounds come a little early or late. */
 const ROUND_SLACK: Milliseconds = 50
 
@@ -111,8 +116,9 @@
   #sequence = 0
   #role: WorkRole = 'direct'
   #listeners: BoxEntry[] = []
-  /** Runs of upstreams that are gone, not yet told of. */
-  readonly #goneToTell: string[] = []
+  /** Runs of upstreams that are gone. */
+  readonly #gone: NewsBatch<string>
+  readonly #suspects: NewsBatch<SuspectNews>
   #toldHearsayAt = -Infinity
   #drawn: Circle | undefined
 
@@ -137,14 +143,32 @@
     },
     upstreams: (_from, { entries, version, stamp, age }) =>
       this.options.onUpstreams(entries, version, age === undefined ? undefined : stamp - age),
+    'suspects-wanted': from =>
+      this.#reply(from, { type: 'suspects', ...this.options.currentSuspects() }),
+    suspects: (_from, { entries, isComplete = false }) => {
+      const news = this.options.onSuspects(entries, isComplete)
+      if (!this.isMesh) this.tellSuspects(news)
+    },
   }
 
   constructor(private readonly options: PeerTaskOptions) {
     this.#known = new KnownBoxes(options.self.box)
     this.#startedAt = options.clock.now()
+    const { clock } = options
+    const tell = (message: GatewayMessage) => this.#tell(this.#circle.neighbours, () => message)
+    this.#gone = new NewsBatch(clock, TELL_NEWS_AFTER, runs =>
+      tell({ type: 'upstreams-gone', runs }),
+    )
+    this.#suspects = new NewsBatch(clock, TELL_NEWS_AFTER, entries =>
+      tell({ type: 'suspects', entries }),
+    )
     options.transport.listen({
       onMessage: (from, message) => this.#handlers[message.type]?.(from, message as never),
-      onConnected: peer => void this.#voters.set(peer.box, voterOf(peer)),
+      onConnected: peer => {
+        this.#voters.set(peer.box, voterOf(peer))
+        // One of the two may have been cut off, or has just started.
+        this.#reply(peer, { type: 'suspects-wanted' })
+      },
     })
   }
 
@@ -229,15 +253,12 @@
    * once: 60 boxes know of 40 upstreams within 100 ms (played on a moved clock), where each would have to be turned away once.
    */
   tellGone(runs: readonly string[]): void {
-    if (runs.length === 0) return
-    const isFirst = this.#goneToTell.length === 0
-    this.#goneToTell.push(...runs)
-    if (isFirst) this.options.clock.after(TELL_GONE_AFTER, () => this.#flushGone())
+    this.#gone.add(runs)
   }
 
-  #flushGone(): void {
-    const message: GatewayMessage = { type: 'upstreams-gone', runs: this.#goneToTell.splice(0) }
-    this.#tell(this.#circle.neighbours, () => message)
+  /** Tells of requests under which upstreams ended, in the same way. */
+  tellSuspects(entries: readonly SuspectNews[]): void {
+    this.#suspects.add(entries)
   }
 
   /**
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -22,6 +22,8 @@
 import type { Channels, OpenChannels } from '../node/upstreamChannels.js'
 import type { EventLog, GatewayMetrics } from '../types/ports.js'
 import type { ColdGuard } from './coldGuard.js'
+import type { CrashSuspects } from './crashSuspects.js'
+import { placeSuspects } from './placeSuspects.js'
 import type { EngineWork } from './engineWork.js'
 import { UpstreamListTask } from './upstreamListTask.js'
 
@@ -55,6 +57,8 @@
   bodyBytes: number
   /** Connections that one upstream takes from this box. */
   channelLimit: number
+  /** Upstreams that ended under the request in a row. 0 where it is left out. */
+  crashes?: number
 }
 
 /** What an upstream told of its load says little after this. */
@@ -70,6 +74,7 @@
   metrics: GatewayMetrics
   work: EngineWork
   cold: ColdGuard
+  suspects: Pick<CrashSuspects, 'trialsAt'>
   openChannels: OpenChannels
   /** Whether the operators' configuration names the service. Of any other no entry counts, not even at its address. */
   namesService(service: string): boolean
@@ -127,8 +132,9 @@
       upstream.isEjected = isEjected(upstream.health, now)
       candidates.push(upstream)
     }
-    const { prompt, bodyBytes, trial } = query
-    const usable = trial ? keepTrialUpstreams(candidates, trial) : candidates
+    const { prompt, bodyBytes, trial, crashes = 0 } = query
+    const admitted = trial ? keepTrialUpstreams(candidates, trial) : candidates
+    const usable = placeSuspects(admitted, crashes, this.options.suspects.trialsAt())
     if (!prompt) return pickUpstream(usable, { random, dataCentre })
     const knowsFarWork = this.options.knowsFarWork()
     return pickUpstream(usable, { random, dataCentre, prompt, knowsFarWork, bodyBytes })
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -7,6 +7,7 @@
 } from '@yewkeel/decisions'
 import type { Verdict } from '../tasks/rolloutTask.js'
 import type { BoxEntry, OperatorState } from './ports.js'
+import type { SuspectNews } from './suspects.js'
 
 /** The order is part of the protocol between boxes. */
 export const GATEWAY_STATES = ['starting', 'serving', 'leaving'] as const
@@ -69,6 +70,10 @@
   /** Other processes answer at the addresses of these runs of upstreams. */
   | { type: 'upstreams-gone'; runs: string[] }
   | UpstreamsMessage
+  /** What the receiver knows of requests under which upstreams ended. */
+  | { type: 'suspects-wanted' }
+  /** `isComplete`: all that was condemned before is among it. Only in the answer to the question. */
+  | { type: 'suspects'; entries: SuspectNews[]; isComplete?: boolean }
 
 /** The list of upstreams, asked for by `upstreams-wanted`. */
 export interface UpstreamsMessage {
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -5,6 +5,7 @@
   RolloutOrder,
   RolloutStatus,
 } from '@yewkeel/decisions'
+import type { CondemnedEntry } from './suspects.js'
 
 /** What the operators wrote. */
 export interface OperatorState {
@@ -60,6 +61,10 @@
   readBoxes(): Promise<readonly BoxEntry[]>
   writeBox(entry: BoxEntry): Promise<void>
   removeBoxes(boxes: readonly string[]): Promise<void>
+  readCondemned(): Promise<readonly CondemnedEntry[]>
+  writeCondemned(entry: CondemnedEntry): Promise<void>
+  /** Takes requests by their digests from the condemned ones. */
+  removeCondemned(requests: readonly string[]): Promise<void>
 }
 
 /** A part of a prompt. Requests that begin with the same parts can share what an engine keeps of them. */
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -1,6 +1,8 @@
 import type { Clock, ConfidenceGains, Random, RetryShares } from '@yewkeel/decisions'
+import type { CrashSuspects } from '../tasks/crashSuspects.js'
 import type { EngineWork } from '../tasks/engineWork.js'
 import type { OperatorTask } from '../tasks/operatorTask.js'
+import type { PauseWatch } from '../tasks/pauseWatch.js'
 import type { ReachabilityWatch } from '../tasks/reachabilityWatch.js'
 import type { RolloutTask } from '../tasks/rolloutTask.js'
 import type { UpstreamDirectory } from '../tasks/upstreamDirectory.js'
@@ -25,6 +27,9 @@
   gains: ConfidenceGains
   stalls: StallWatch
   reachability: ReachabilityWatch
+  /** What is known of requests under which upstreams ended. */
+  suspects: CrashSuspects
+  pauses: PauseWatch
   /** Boxes that are heard of, and this one. */
   boxCount(): number
   /**
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -52,6 +52,7 @@
       boxesVersion: () => 0,
       boxes: () => [],
     }),
+    suspects: { trialsAt: () => new Map() },
     namesService: () => true,
     openChannels: address => new UpstreamChannels(address, clock),
     knowsFarWork: () => true,
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -11,6 +11,7 @@
   createGateway,
   createGatewayMetrics,
   type BoxEntry,
+  type CondemnedEntry,
   type Dialect,
   type Gateway,
   type GatewayMessage,
@@ -41,6 +42,7 @@
     upstreams: ListedUpstream[]
     version: number
     entries: Map<string, BoxEntry>
+    condemned: Map<string, CondemnedEntry>
     rollouts: RolloutStatus[]
   }
   /** Messages of a type that boxes sent each other. */
@@ -106,6 +108,7 @@
     upstreams: [],
     version: 5,
     entries: new Map(),
+    condemned: new Map(),
     rollouts: [],
   }
   const network = new MemoryLinks(clock)
@@ -137,6 +140,10 @@
       readBoxes: () => call(() => [...store.entries.values()]),
       writeBox: entry => call(() => void store.entries.set(entry.box, entry)),
       removeBoxes: names => call(() => names.forEach(name => store.entries.delete(name))),
+      readCondemned: () => call(() => [...store.condemned.values()]),
+      writeCondemned: entry => call(() => void store.condemned.set(entry.request, entry)),
+      removeCondemned: requests =>
+        call(() => requests.forEach(request => store.condemned.delete(request))),
     }
   }
 
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -189,6 +189,9 @@
     readBoxes: () => Promise.resolve([]),
     writeBox: () => Promise.resolve(),
     removeBoxes: () => Promise.resolve(),
+    readCondemned: () => Promise.resolve([]),
+    writeCondemned: () => Promise.resolve(),
+    removeCondemned: () => Promise.resolve(),
   }
   const lines: TestGateway['lines'] = []
   const gateway = createGateway({
