--- a/packages/gateway/test/playedCrashes.ts
+++ b/packages/gateway/test/playedCrashes.ts
@@ -1,6 +1,7 @@
 import { createSeededRandom, type ListedUpstream, type Milliseconds } from '@yewkeel/decisions'
-import type { Dialect, ExchangeListener, OpenChannels, RawHeaders } from '../src/index.js'
+import type { ExchangeListener, OpenChannels, RawHeaders } from '../src/index.js'
 import { createFleet, type Fleet, type FleetBox } from './testFleet.js'
+import { createPlayedDialect, headerOf } from './playedDialect.js'
 import { createTestRoute } from './testGateway.js'
 
 export type RouteName = 'chat' | 'tag' | 'check' | 'hold'
@@ -70,24 +71,7 @@
 const TIME_LEFT: Milliseconds = 8_000
 const ROUTES: RouteName[] = ['chat', 'chat', 'chat', 'tag', 'check', 'hold']
 
-const get = (headers: RawHeaders, name: string): string | undefined => {
-  const at = headers.findIndex((text, index) => index % 2 === 0 && text === name)
-  return at === -1 ? undefined : headers[at + 1]
-}
-
-const dialect: Dialect = {
-  readRequest: headers => ({
-    id: get(headers, 'id')!,
-    key: get(headers, 'key')!,
-    timeLeft: TIME_LEFT,
-    promptTokens: 700,
-    promptParts: [],
-  }),
-  writeRequest: headers => [...headers],
-  readAnswer: () => ({ isSigned: true, isNotRun: false, isFramed: true, isEncoded: false }),
-  writeAnswer: () => [],
-  writeRefusal: () => [],
-}
+const dialect = createPlayedDialect(get => ({ key: get('key')!, timeLeft: TIME_LEFT }))
 
 /** An upstream in memory, and the answers that are under way at its present process. */
 export class PlayedUpstream {
@@ -166,7 +150,7 @@
       clock.after(CALL_TIME, () => answer.finish())
       return
     }
-    const first = Number(get(headers, 'last-event-id') ?? 0) + 1
+    const first = Number(headerOf(headers, 'last-event-id') ?? 0) + 1
     const next = (id: number) => {
       if (answer.isOver) return
       answer.piece(id)
--- /dev/null
+++ b/packages/gateway/test/playedDialect.ts
@@ -0,0 +1,27 @@
+import type { Dialect, RawHeaders, RequestFields } from '../src/index.js'
+
+/** A header by its plain name. */
+export function headerOf(headers: RawHeaders, name: string): string | undefined {
+  const at = headers.findIndex((text, index) => index % 2 === 0 && text === name)
+  return at === -1 ? undefined : headers[at + 1]
+}
+
+/** The wire of a played world: names are plain, and every answer is whole and signed. */
+export function createPlayedDialect(
+  readFields: (
+    get: (name: string) => string | undefined,
+  ) => Omit<RequestFields, 'id' | 'promptParts' | 'promptTokens'>,
+): Dialect {
+  return {
+    readRequest: headers => ({
+      id: headerOf(headers, 'id')!,
+      promptTokens: 700,
+      promptParts: [],
+      ...readFields(name => headerOf(headers, name)),
+    }),
+    writeRequest: headers => [...headers],
+    readAnswer: () => ({ isSigned: true, isNotRun: false, isFramed: true, isEncoded: false }),
+    writeAnswer: () => [],
+    writeRefusal: () => [],
+  }
+}
--- a/packages/gateway/test/playedRollout.ts
+++ b/packages/gateway/test/playedRollout.ts
@@ -1,5 +1,6 @@
 import { createSeededRandom, type Milliseconds, type Random } from '@yewkeel/decisions'
-import type { Dialect, ExchangeListener, OpenChannels, RawHeaders } from '../src/index.js'
+import type { ExchangeListener, OpenChannels } from '../src/index.js'
+import { createPlayedDialect, headerOf } from './playedDialect.js'
 import { createTestRoute } from './testGateway.js'
 import { createFleet, type Fleet } from './testFleet.js'
 
@@ -111,25 +112,7 @@
   }
 }
 
-/** Headers by plain names. */
-const get = (headers: RawHeaders, name: string): string | undefined => {
-  const at = headers.findIndex((text, index) => index % 2 === 0 && text === name)
-  return at === -1 ? undefined : headers[at + 1]
-}
-
-const dialect: Dialect = {
-  readRequest: headers => ({
-    id: get(headers, 'id')!,
-    timeLeft: TIME_LEFT,
-    session: get(headers, 'session')!,
-    promptTokens: 700,
-    promptParts: [],
-  }),
-  writeRequest: headers => [...headers],
-  readAnswer: () => ({ isSigned: true, isNotRun: false, isFramed: true, isEncoded: false }),
-  writeAnswer: () => [],
-  writeRefusal: () => [],
-}
+const dialect = createPlayedDialect(get => ({ session: get('session')!, timeLeft: TIME_LEFT }))
 
 /** Plays a roll-out before a fleet of boxes whose callers all have sessions. */
 export async function playRollout(options: PlayOptions): Promise<Played> {
@@ -171,11 +154,15 @@
       send(request, listener) {
         const answer = new PlayedAnswer(engine, listener, clock, random)
         const headers = request.headers
-        runs.push({ at: clock.now(), version: engine.version, session: get(headers, 'session')! })
+        runs.push({
+          at: clock.now(),
+          version: engine.version,
+          session: headerOf(headers, 'session')!,
+        })
         const route = request.target.split('/')[1] as RouteName
         const flaw = engine.version === 'v2' ? flawOf(engine, route) : undefined
         if (flaw) badAt.push(clock.now())
-        const from = Number(get(headers, 'last-event-id') ?? 0)
+        const from = Number(headerOf(headers, 'last-event-id') ?? 0)
         answer.begin(flaw, Math.max(1, PIECES[route] - from), from)
         return { cancel: () => answer.cancel() }
       },
