A run's stamp is taken when its end is looked into; a trial ends with a caller that left; boxes that do not read look less often

Cause: the next run may be sent before the probe of the last is answered (40 ms), and would lend it its stamp; a caller that left while its request waited for its turn left a trial of 1 s behind; boxes that had restarted and do not read the store looked every 50 ms for good.

--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -90,7 +90,11 @@
    */
   async mayRun(hasBegun = false): Promise<boolean> {
     const turn = await this.#suspect.awaitTurn(this.admitted.deadline - 2 * TIME_KEPT_BACK)
-    if (this.isOver) return false
+    if (this.isOver) {
+      // The caller left while the request waited for its turn.
+      this.#suspect.endTrial()
+      return false
+    }
     if (turn === 'may-run') return true
     if (hasBegun) {
       this.answer.abort()
--- a/packages/gateway/src/requests/suspectRun.ts
+++ b/packages/gateway/src/requests/suspectRun.ts
@@ -1,20 +1,23 @@
-import { UNSUSPECTED, type Milliseconds, type SuspicionAtSend } from '@yewkeel/decisions'
 import type { Trial } from '@yewkeel/box'
+import { UNSUSPECTED, type Milliseconds, type SuspicionAtSend } from '@yewkeel/decisions'
 import type { Upstream } from '../tasks/upstreamDirectory.js'
 import type { GatewayServices } from '../types/services.js'
 import type { AdmittedRequest } from './admitCaller.js'
 import { contentOf, requestDigest } from './requestDigest.js'
 
-/** Nothing is held against it. */
-const NOTHING: SuspicionAtSend = UNSUSPECTED
 /** An upstream whose process has ended refuses a probe within a few milliseconds; the next try waits no longer for the answer. */
 const CRASH_KNOWN_WITHIN: Milliseconds = 40
 
+/** A run at an upstream, and what was held against the request when it was sent. */
+interface SentRun {
+  at: Milliseconds
+  known: SuspicionAtSend
+}
+
 /** What is held against one request while it is on its way, and what its runs add to that. */
 export class SuspectRun {
   #digest: string | undefined
-  #atSend = NOTHING
-  #sentAt: Milliseconds = 0
+  #sent: SentRun = { at: 0, known: UNSUSPECTED }
   #trial: Trial | undefined
   #looking: Promise<void> | undefined
 
@@ -57,8 +60,8 @@
 
   noteSent({ run }: Upstream): void {
     const { suspects, clock } = this.services
-    this.#sentAt = clock.now()
-    this.#atSend = suspects.isEmpty ? NOTHING : suspects.find(this.digest)
+    const known = suspects.isEmpty ? UNSUSPECTED : suspects.find(this.digest)
+    this.#sent = { at: clock.now(), known }
     if (this.#trial) suspects.noteSent(this.digest, this.#trial, run)
   }
 
@@ -78,9 +81,11 @@
   /** An answer broke off: looks whether its upstream's process has ended. `onOpen` is called if it goes on. */
   lookAt(upstream: Upstream, onOpen: () => void): void {
     const { reachability, clock } = this.services
+    // The next run may be sent before this is known.
+    const sent = this.#sent
     const looking = reachability.check(upstream).then(seen => {
       if (seen === 'open') onOpen()
-      else if (seen === 'refused') this.#noteCrash(upstream)
+      else if (seen === 'refused') this.#noteCrash(upstream, sent)
     })
     this.#looking = new Promise(resolve => {
       const timer = clock.after(CRASH_KNOWN_WITHIN, resolve)
@@ -92,14 +97,14 @@
   }
 
   /** Upstreams that leave as planned end, too, and a box that stood still finds all of its connections dead. */
-  #noteCrash(upstream: Upstream): void {
+  #noteCrash(upstream: Upstream, sent: SentRun): void {
     const { log, metrics, clock, upstreams, pauses, suspects, answers } = this.services
     const { run, listed } = upstream
     const { organisation, route } = this.admitted
     const isLeaving = listed.state !== 'ready' || !upstreams.isListed(upstream)
-    if (isLeaving || pauses.hasPausedSince(this.#sentAt)) return
+    if (isLeaving || pauses.hasPausedSince(sent.at)) return
     metrics.count('crashes', 'aboard')
-    const after = Math.round(clock.now() - this.#sentAt)
+    const after = Math.round(clock.now() - sent.at)
     log.note('upstream-crashed', {
       upstream: run,
       service: listed.service,
@@ -110,7 +115,7 @@
     })
     suspects.noteCrash({
       request: this.digest,
-      atSend: this.#atSend,
+      atSend: sent.known,
       upstream: run,
       service: listed.service,
       organisation: organisation?.name,
--- a/packages/gateway/src/tasks/condemnedTask.ts
+++ b/packages/gateway/src/tasks/condemnedTask.ts
@@ -15,8 +15,11 @@
   isReader(): boolean
 }
 
-/** A box that starts looks this often whether it is the one to read. */
+/** A box that starts looks this often whether it is the one to read ... */
 const LOOK_EVERY: Milliseconds = 50
+/** ... for so long; by then those that read have told the others, and it takes over only if they are gone. */
+const LOOKS_CLOSELY_FOR: Milliseconds = 3_000
+const LOOK_LATER_EVERY: Milliseconds = 1_000
 const AFTER_FAILURE: Milliseconds = 1_500
 const FORGET_EVERY: Milliseconds = 30_000
 const WRITE_TRIES = 3
@@ -47,8 +50,10 @@
 
   async #read(): Promise<void> {
     const { clock, log, store, suspects, isReader } = this.options
+    const startedAt = clock.now()
     while (!this.isComplete && !this.#isStopped) {
-      await sleep(clock, LOOK_EVERY)
+      const isStarting = clock.now() - startedAt < LOOKS_CLOSELY_FOR
+      await sleep(clock, isStarting ? LOOK_EVERY : LOOK_LATER_EVERY)
       if (this.isComplete || !isReader()) continue
       try {
         const entries = await store.readCondemned()
