Logs tell what upstreams say of themselves, and what was sent there since

Cause: none of the hypotheses on LIMIT, DRAIN and BUDGET can be told apart by our logs: a limit and a leaving are not decoded, a rest is kept with the request that was turned away. Change: an answer's limit, its leaving and its rest are decoded, each within bounds; what nobody can read is named. A line for each change with what this box sent there since the last; a counter by kind; the try's line has what its answer said. No decision reads any of it.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -20,6 +20,7 @@
 import { PeerTask } from './tasks/peerTask.js'
 import { ReachabilityWatch } from './tasks/reachabilityWatch.js'
 import { RolloutTask } from './tasks/rolloutTask.js'
+import { StatementTask } from './tasks/statementTask.js'
 import { StoreReader } from './tasks/storeReader.js'
 import { UpstreamDirectory } from './tasks/upstreamDirectory.js'
 import type { GatewayMessage, GatewayState } from './types/gossip.js'
@@ -345,6 +346,7 @@
     reachability,
     suspects,
     pauses: new PauseWatch(clock),
+    statements: new StatementTask({ clock, log, metrics }),
     boxCount: () => peers.live().length + 1,
     sharingBoxes: () => (peers.hasEntries ? knownBoxCount() : Infinity),
     channelLimit(service) {
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -13,6 +13,7 @@
   exchanges: 'tries at upstreams by outcome',
   retries: 'requests sent once more, and those that the retry budget did not allow',
   ejections: 'upstreams taken out of use, by service',
+  statements: 'what upstreams said of themselves, by kind',
   storeCalls: 'calls to the store by outcome',
 }
 
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -191,7 +191,7 @@
     fields: Pick<OutgoingFields, 'copyFrom' | 'lastEventId' | 'model'>,
     handler: ExchangeHandler,
   ): RunningExchange {
-    const { clock, dialect } = this.services
+    const { clock, dialect, statements } = this.services
     const { request, organisation, route } = this.admitted
     const outgoing: OutgoingFields = {
       timeLeft: Math.max(1, Math.floor(this.timeLeft - TIME_KEPT_BACK)),
@@ -203,6 +203,7 @@
     this.tried.push(upstream.run)
     this.#sent = { upstream, send: this.#suspect.noteSent(upstream.run), sentAt: clock.now() }
     this.#tries.noteSent()
+    statements.noteSent(upstream)
     this.#log.begin(upstream.listed, fields.model)
     const exchange = exchangeWithUpstream(
       upstream,
@@ -216,7 +217,14 @@
       this.admitted.fields.id,
       dialect,
       () => clock.now(),
-      handler,
+      {
+        ...handler,
+        onHead: head => {
+          statements.take(upstream, head)
+          this.#log.says(head)
+          return handler.onHead(head)
+        },
+      },
     )
     this.#exchange = exchange
     return exchange
--- a/packages/gateway/src/requests/tryLog.ts
+++ b/packages/gateway/src/requests/tryLog.ts
@@ -1,4 +1,5 @@
 import type { Clock, ListedUpstream, Milliseconds } from '@yewkeel/decisions'
+import type { AnswerHead } from './exchangeWithUpstream.js'
 
 /** One try at an upstream, for the log. */
 interface TryRecord {
@@ -18,6 +19,11 @@
   /** Pieces of the stream that came, and when the last of them did, counted from the request's arrival. */
   pieces?: number
   lastPiece?: Milliseconds
+  /** What the upstream said of itself in its answer. */
+  limit?: number
+  isLeaving?: boolean
+  /** In seconds. */
+  retryAfter?: number
 }
 
 /** What became of the tries of one request, as its line in the log tells it. */
@@ -41,6 +47,15 @@
     record.outcome = outcome
   }
 
+  /** What the upstream says of itself in the head of its answer. */
+  says({ fields: { limit, isLeaving, retryAfter } }: AnswerHead): void {
+    const record = this.records.at(-1)
+    if (!record) return
+    if (limit !== undefined) record.limit = limit
+    if (isLeaving) record.isLeaving = isLeaving
+    if (retryAfter !== undefined) record.retryAfter = retryAfter
+  }
+
   confidence(confidence: number): void {
     const record = this.records.at(-1)
     if (record) record.confidence = confidence
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -124,6 +124,12 @@
   isEncoded: boolean
   /** Seconds after which asking again may help. */
   retryAfter?: number
+  /** Requests a second that the upstream takes from all boxes together, for as long as its answers say so. */
+  limit?: number
+  /** The upstream says that it leaves. */
+  isLeaving?: boolean
+  /** What the upstream said of itself and nobody can read, `name: text`. */
+  unreadable?: readonly string[]
   /** The run of an upstream that gave the answer, where it names itself. */
   answeredBy?: string
 }
@@ -181,4 +187,11 @@
 }
 
 export type CounterName =
-  'requests' | 'arrivals' | 'crashes' | 'exchanges' | 'retries' | 'ejections' | 'storeCalls'
+  | 'requests'
+  | 'arrivals'
+  | 'crashes'
+  | 'exchanges'
+  | 'retries'
+  | 'ejections'
+  | 'statements'
+  | 'storeCalls'
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -6,6 +6,7 @@
 import type { ReachabilityWatch } from '../tasks/reachabilityWatch.js'
 import type { RolloutTask } from '../tasks/rolloutTask.js'
 import type { UpstreamDirectory } from '../tasks/upstreamDirectory.js'
+import type { StatementTask } from '../tasks/statementTask.js'
 import type { StallWatch } from '../requests/stallWatch.js'
 import type { Dialect, EventLog, GatewayMetrics } from './ports.js'
 import type { GatewaySettings } from './settings.js'
@@ -30,6 +31,7 @@
   /** What is known of requests under which upstreams ended. */
   suspects: CrashSuspects
   pauses: PauseWatch
+  statements: StatementTask
   /** Boxes that are heard of, and this one. */
   boxCount(): number
   /**
