--- a/packages/gateway/test/playedDialect.ts
+++ b/packages/gateway/test/playedDialect.ts
@@ -6,6 +6,11 @@
   return at === -1 ? undefined : headers[at + 1]
 }
 
+const numberOf = (headers: RawHeaders, name: string) => {
+  const text = headerOf(headers, name)
+  return text === undefined ? undefined : Number(text)
+}
+
 /** The wire of a played world: names are plain, and every answer is whole and signed. */
 export function createPlayedDialect(
   readFields: (
@@ -20,8 +25,21 @@
       ...readFields(name => headerOf(headers, name)),
     }),
     writeRequest: headers => [...headers],
-    readAnswer: () => ({ isSigned: true, isNotRun: false, isFramed: true, isEncoded: false }),
+    readAnswer(headers) {
+      const limit = numberOf(headers, 'limit')
+      const retryAfter = numberOf(headers, 'retry-after')
+      return {
+        isSigned: true,
+        isNotRun: headerOf(headers, 'not-run') !== undefined,
+        isFramed: true,
+        isEncoded: false,
+        ...(limit !== undefined && { limit }),
+        ...(retryAfter !== undefined && { retryAfter }),
+        ...(headerOf(headers, 'leaving') !== undefined && { isLeaving: true }),
+      }
+    },
     writeAnswer: () => [],
-    writeRefusal: () => [],
+    writeRefusal: (_id, retryAfter) =>
+      retryAfter === undefined ? [] : ['retry-after', String(retryAfter / 1_000)],
   }
 }
