--- a/packages/gateway/test/statements.test.ts
+++ b/packages/gateway/test/statements.test.ts
@@ -1,7 +1,9 @@
 import { expect } from 'chai'
 import {
   arrivalRate,
+  lateAtLeaving,
   limitExcess,
+  mostInRest,
   playStatements,
   servedShare,
   type PlayedStatements,
@@ -162,3 +164,35 @@
     expect(Math.max(...told) - Math.min(...told)).to.be.above(2_000)
   })
 })
+
+/**
+ * What users saw: calls still reached an upstream that had said that it leaves, two and more seconds later, for twelve seconds on end.
+ * Order of events: the store answers nobody; an upstream leaves, and can't write that into its entry; its answers say so; the boxes pass them on, and
+ * send there as before.
+ */
+describe('an upstream whose answers say that it leaves', () => {
+  it('gets nothing from a box that it told, though its entry does not change', async () => {
+    const played = await playStatements({
+      says: [
+        { service: 'pool', count: 3, from: FROM, isLeaving: true },
+        { service: 'desk', count: 1, from: FROM, isLeaving: true },
+      ],
+    })
+    expect(lateAtLeaving(played)).to.equal(0)
+  })
+})
+
+/**
+ * What users saw: for four seconds a quarter of the streams were not served or late, while nine of thirteen upstreams took requests.
+ * Order of events: four upstreams turn all requests away and ask for 3 s of rest; the boxes send the request elsewhere, and the next one there again; with no
+ * load and nothing to read these look best of all, and get more than half of all sends; a request whose three tries land there is refused.
+ */
+describe('an upstream that asks for rest', () => {
+  it('gets no more than two requests from a box that it asked, and callers are served by others', async () => {
+    const played = await playStatements({
+      says: [{ service: 'pool', count: 3, from: FROM, until: 16_000, rest: 3 }],
+    })
+    expect(mostInRest(played)).to.be.at.most(2)
+    expect(servedShare(played, ['chat'], FROM, END)).to.be.above(0.995)
+  })
+})
