An upstream whose answers say that it leaves gets nothing more, at all boxes, whatever its entry says

Cause: only the entry counted; what the answers said ended with the request. With the store out the entry of an upstream that leaves cannot change. Ruled out: that only news of the store were missing (with a store that answers, and an entry that stands, it gets as much). Change: what a run says of itself is kept by run, in one place, and outlasts its entry, which may go and come back or be heard of later. Its leaving is told to all boxes at once and to those that link; idle connections are closed, streams under way go on. Only another run under its name takes requests again. Where all upstreams of a service leave, callers get 503 within 0 ms.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -164,6 +164,7 @@
     metrics,
     work,
     budget,
+    saidBy: run => statements.saidBy(run),
     openChannels: options.openChannels ?? (address => new UpstreamChannels(address, clock)),
     namesService: name =>
       operators.index === undefined || operators.index.service(name) !== undefined,
--- a/packages/gateway/src/requests/crashProbe.ts
+++ b/packages/gateway/src/requests/crashProbe.ts
@@ -45,7 +45,8 @@
   #noteCrash({ upstream, send, sentAt }: ProbedRun): void {
     const { log, metrics, clock, upstreams, pauses } = this.services
     const { listed, run } = upstream
-    const isLeaving = listed.state !== 'ready' || !upstreams.isListed(upstream)
+    const isLeaving =
+      upstream.said.isLeaving || listed.state !== 'ready' || !upstreams.isListed(upstream)
     if (isLeaving || pauses.hasPausedSince(sentAt)) return
     metrics.count('crashes', 'aboard')
     log.note('upstream-crashed', {
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -204,7 +204,7 @@
     this.tried.push(upstream.run)
     this.#sent = { upstream, send: this.#suspect.noteSent(upstream.run), sentAt: clock.now() }
     this.#tries.noteSent()
-    statements.noteSent(upstream)
+    upstream.said.sent++
     this.#log.begin(upstream.listed, fields.model)
     const exchange = exchangeWithUpstream(
       upstream,
--- a/packages/gateway/src/tasks/sendBudget.ts
+++ b/packages/gateway/src/tasks/sendBudget.ts
@@ -139,7 +139,7 @@
    * The limit is for all boxes together, and none asks the others before it sends: the part of each follows from the boxes that are
    * entered, which do not change when one is cut off or starts again. A limit that falls counts from the requests already sent.
    */
-  #limitRate({ limit }: Upstream, now: Milliseconds): SharedRate | undefined {
+  #limitRate({ said: { limit } }: Upstream, now: Milliseconds): SharedRate | undefined {
     const perSecond = limit && limitNow(limit, now)
     if (!limit || perSecond === undefined) return undefined
     const { boxCount, hearsOthers } = this.options
--- a/packages/gateway/src/tasks/statementTask.ts
+++ b/packages/gateway/src/tasks/statementTask.ts
@@ -14,6 +14,20 @@
 import type { PauseWatch } from './pauseWatch.js'
 import type { Upstream } from './upstreamDirectory.js'
 
+/** What one run of an upstream has said of itself, in answers to this box or to others. */
+export interface Said {
+  /** Once it has named a limit. */
+  limit?: StatedLimit
+  /** It leaves, whatever its entry says: where the store is out the entry can't change. */
+  isLeaving: boolean
+  /** The limit that the log told of last. */
+  loggedLimit?: number
+  /** Requests that this box has sent there since the last line about it. */
+  sent: number
+  /** One line for each run tells what nobody can read. */
+  hasUnreadable: boolean
+}
+
 export interface StatementTaskOptions {
   clock: Clock
   log: EventLog
@@ -27,120 +41,132 @@
   tell(entries: readonly Statement[]): void
 }
 
-/** What the log has told of one upstream. */
-interface Told {
-  limit?: number
-  isLeaving: boolean
-  /** Requests that this box has sent there since the last line about it. */
-  sent: number
-  /** One line for each upstream tells what nobody can read. */
-  hasUnreadable: boolean
-}
+/** How this box heard it. */
+type Through = 'answer' | 'news'
 
 /** Statuses by which an upstream turns a request away, and may ask for rest. */
 const TURNS_AWAY = new Set([429, 503])
 const SECOND: Milliseconds = 1_000
+/** Runs of which something is remembered. Those that are listed no more are forgotten first. */
+const MOST_RUNS = 5_000
 
 /**
  * What upstreams say of themselves in their answers. It holds for the run that said it, beyond the request that was answered, and at all
- * boxes: kept with the request, it would be used up by whoever heard it.
+ * boxes: kept with the request, it would be used up by whoever heard it. It outlasts the run's entry, too, which may go and come back, and
+ * may be heard of before it.
  */
 export class StatementTask {
-  readonly #told = new WeakMap<Upstream, Told>()
+  readonly #said = new Map<string, Said>()
 
   constructor(private readonly options: StatementTaskOptions) {}
 
-  /** A request is about to be sent there. */
-  noteSent(upstream: Upstream): void {
-    this.#toldOf(upstream).sent++
+  /** What a run has said, as it is from now on, too. */
+  saidBy(run: string): Said {
+    const known = this.#said.get(run)
+    if (known) return known
+    if (this.#said.size >= MOST_RUNS) this.#forgetUnlisted()
+    const said: Said = { isLeaving: false, sent: 0, hasUnreadable: false }
+    this.#said.set(run, said)
+    return said
   }
 
   /** An upstream answered a request that was sent at `sentAt`. */
   take(upstream: Upstream, head: AnswerHead, sentAt: Milliseconds): void {
     const { status, fields } = head
-    if (fields.unreadable) this.#noteUnreadable(upstream, fields.unreadable)
+    const { run, said } = upstream
+    if (fields.unreadable) this.#noteUnreadable(run, fields.unreadable)
     if (!isOfRun(head, upstream)) return
-    if (fields.limit !== undefined || upstream.limit) this.#takeLimit(upstream, head, sentAt)
-    if (fields.isLeaving && !this.#toldOf(upstream).isLeaving) {
-      this.#toldOf(upstream).isLeaving = true
-      this.#note('leaving', upstream, { state: upstream.listed.state })
-    }
+    if (fields.limit !== undefined || said.limit) this.#takeLimit(run, head, sentAt)
+    if (fields.isLeaving && this.#noteLeaving(run, 'answer'))
+      this.options.tell([{ run, isLeaving: true }])
     if (TURNS_AWAY.has(status) && fields.retryAfter !== undefined)
-      this.#note('rest', upstream, { status, span: fields.retryAfter * SECOND })
+      this.#note('rest', run, { status, span: fields.retryAfter * SECOND })
   }
 
   /** Other boxes tell what upstreams said to them. Gives what of it was news. */
   hear(entries: readonly Statement[]): Statement[] {
-    return entries.filter(({ run, limit }) => {
-      const upstream = this.options.find(run)
-      return upstream !== undefined && this.#hearLimit(upstream, limit)
+    return entries.filter(({ run, limit, isLeaving }) => {
+      const hasLeft = isLeaving === true && this.#noteLeaving(run, 'news')
+      const hasLimit = limit !== undefined && this.#hearLimit(run, limit)
+      return hasLeft || hasLimit
     })
   }
 
-  /** All that holds now, for a box that links to this one. */
+  /** All that upstreams that are listed have said, for a box that links to this one. */
   current(): Statement[] {
     const entries: Statement[] = []
-    for (const { run, limit } of this.options.all())
+    for (const { run, said } of this.options.all()) {
+      const { limit, isLeaving } = said
       if (limit) entries.push({ run, limit: sharedOf(limit) })
+      if (isLeaving) entries.push({ run, isLeaving })
+    }
     return entries
   }
 
-  #takeLimit(upstream: Upstream, { fields }: AnswerHead, sentAt: Milliseconds): void {
+  #takeLimit(run: string, { fields }: AnswerHead, sentAt: Milliseconds): void {
     const { clock, pauses, tell } = this.options
     const now = clock.now()
-    const limit = (upstream.limit ??= createStatedLimit(now))
+    const said = this.saidBy(run)
+    const limit = (said.limit ??= createStatedLimit(now))
     const isLooser = (fields.limit ?? Infinity) > (limit.perSecond ?? Infinity)
     // An answer that lay here while the box stood still may be older than what the others know.
     if (isLooser && pauses.hasPausedSince(sentAt)) return
     // It names one, though nobody can read it.
     if (fields.limit === undefined && fields.unreadable) return
     const isNews = noteStatedLimit(limit, fields.limit, now)
-    this.#noteLimit(upstream, limit, 'answer')
-    if (isNews) tell([{ run: upstream.run, limit: sharedOf(limit) }])
+    this.#logLimit(run, said, limit, 'answer')
+    if (isNews) tell([{ run, limit: sharedOf(limit) }])
   }
 
-  #hearLimit(upstream: Upstream, told: SharedLimit): boolean {
+  #hearLimit(run: string, told: SharedLimit): boolean {
     const now = this.options.clock.now()
-    const limit = (upstream.limit ??= createStatedLimit(now))
+    const said = this.saidBy(run)
+    const limit = (said.limit ??= createStatedLimit(now))
     if (!takeSharedLimit(limit, told, now)) return false
-    this.#noteLimit(upstream, limit, 'news')
+    this.#logLimit(run, said, limit, 'news')
     return true
   }
 
   /** A line for each change of the limit that this box goes by. */
-  #noteLimit(upstream: Upstream, limit: StatedLimit, through: 'answer' | 'news'): void {
-    const told = this.#toldOf(upstream)
-    const before = told.limit
+  #logLimit(run: string, said: Said, limit: StatedLimit, through: Through): void {
+    const before = said.loggedLimit
     const perSecond = limitNow(limit, this.options.clock.now())
     if (perSecond === before) return
-    if (perSecond === undefined) delete told.limit
-    else told.limit = perSecond
+    if (perSecond === undefined) delete said.loggedLimit
+    else said.loggedLimit = perSecond
     const { version, turn } = limit
-    this.#note('limit', upstream, { limit: perSecond, before, through, version, turn })
+    this.#note('limit', run, { limit: perSecond, before, through, version, turn })
   }
 
-  #noteUnreadable(upstream: Upstream, unreadable: readonly string[]): void {
-    const told = this.#toldOf(upstream)
-    if (told.hasUnreadable) return
-    told.hasUnreadable = true
-    this.#note('unreadable', upstream, { unreadable })
+  /** Its own word goes before its entry, and no later one takes it back: only another run under its name takes requests again. */
+  #noteLeaving(run: string, through: Through): boolean {
+    const said = this.saidBy(run)
+    if (said.isLeaving) return false
+    said.isLeaving = true
+    const upstream = this.options.find(run)
+    upstream?.channels.retire()
+    this.#note('leaving', run, { state: upstream?.listed.state, through })
+    return true
   }
 
-  #toldOf(upstream: Upstream): Told {
-    const known = this.#told.get(upstream)
-    if (known) return known
-    const told: Told = { isLeaving: false, sent: 0, hasUnreadable: false }
-    this.#told.set(upstream, told)
-    return told
+  #noteUnreadable(run: string, unreadable: readonly string[]): void {
+    const said = this.saidBy(run)
+    if (said.hasUnreadable) return
+    said.hasUnreadable = true
+    this.#note('unreadable', run, { unreadable })
   }
 
-  #note(kind: string, upstream: Upstream, fields: object): void {
-    const { log, metrics } = this.options
-    const { id, service, address } = upstream.listed
-    const told = this.#toldOf(upstream)
+  #note(kind: string, run: string, fields: object): void {
+    const { log, metrics, find } = this.options
+    const said = this.saidBy(run)
+    const service = find(run)?.listed.service
     metrics.count('statements', kind)
-    log.note(`upstream-${kind}`, { upstream: id, service, address, ...fields, sent: told.sent })
-    told.sent = 0
+    log.note(`upstream-${kind}`, { upstream: run, service, ...fields, sent: said.sent })
+    said.sent = 0
+  }
+
+  #forgetUnlisted(): void {
+    for (const run of this.#said.keys()) if (!this.options.find(run)) this.#said.delete(run)
   }
 }
 
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -17,7 +17,6 @@
   type Milliseconds,
   type PromptWork,
   type Random,
-  type StatedLimit,
   type UpstreamCandidate,
   type VersionTrial,
 } from '@yewkeel/decisions'
@@ -27,6 +26,7 @@
 import type { CrashSuspects } from '@yewkeel/box'
 import { placeSuspects } from './placeSuspects.js'
 import type { EngineWork } from './engineWork.js'
+import type { Said } from './statementTask.js'
 import { UpstreamListTask } from './upstreamListTask.js'
 
 /** An upstream that requests may be sent to. */
@@ -41,8 +41,8 @@
   told?: { load: number; own: number; at: Milliseconds }
   /** Until then it counts as cold. */
   coldUntil: Milliseconds
-  /** What is known of the limit that it names, once it has named one. */
-  limit?: StatedLimit
+  /** What its run has said of itself. */
+  said: Said
   /** When this box last chose it for requests, the newest at the end. */
   sentAt: Milliseconds[]
 }
@@ -80,6 +80,8 @@
   budget: SendBudget
   suspects: Pick<CrashSuspects, 'trialsAt'>
   openChannels: OpenChannels
+  /** What a run has said of itself. */
+  saidBy(run: string): Said
   /** Whether the operators' configuration names the service. Of any other no entry counts, not even at its address. */
   namesService(service: string): boolean
   /** Whether the boxes of other data centres tell this one what they have sent to upstreams. */
@@ -268,8 +270,8 @@
   }
 
   /** Whether requests may be sent there at all. */
-  #takesRequests({ listed }: Upstream): boolean {
-    return listed.state === 'ready' && !this.#evacuated.has(listed.dataCentre)
+  #takesRequests({ listed, said }: Upstream): boolean {
+    return !said.isLeaving && listed.state === 'ready' && !this.#evacuated.has(listed.dataCentre)
   }
 
   /** It may be sent the request, whether or not a connection is free. */
@@ -328,6 +330,7 @@
         slowness: 1,
         isEjected: false,
         coldUntil: now + (entry.coldFor ?? 0),
+        said: this.options.saidBy(runOf(entry)),
         sentAt: [],
       })
       if (!isFirst) this.options.log.note('upstream-listed', { upstream: entry })
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -60,7 +60,9 @@
 export interface Statement {
   /** Of the upstream: what is told of it ends with it. */
   run: string
-  limit: SharedLimit
+  limit?: SharedLimit
+  /** It leaves, and never takes that back. */
+  isLeaving?: true
 }
 
 /** Messages between gateways. */
--- a/packages/gateway/test/playedStatements.ts
+++ b/packages/gateway/test/playedStatements.ts
@@ -69,6 +69,8 @@
   /** Its present run; what was told of an earlier one holds no more. */
   run = 1
   isDown = false
+  /** Its entry is gone. */
+  isUnlisted = false
 
   constructor(
     readonly name: string,
@@ -222,7 +224,8 @@
 
   function list(): void {
     store.version++
-    store.upstreams = upstreams.map(({ name, service, dataCentre, run }): ListedUpstream => ({
+    const listed = upstreams.filter(({ isUnlisted }) => !isUnlisted)
+    store.upstreams = listed.map(({ name, service, dataCentre, run }): ListedUpstream => ({
       id: `${name}/${run}`,
       service,
       address: name,
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -54,6 +54,7 @@
       boxCount: () => 0,
       hearsOthers: () => true,
     }),
+    saidBy: () => ({ isLeaving: false, sent: 0, hasUnreadable: false }),
     suspects: { trialsAt: () => new Map() },
     namesService: () => true,
     openChannels: address => new UpstreamChannels(address, clock),
--- a/packages/gateway/test/statements.test.ts
+++ b/packages/gateway/test/statements.test.ts
@@ -30,6 +30,7 @@
 /** Half of the boxes start again, now and a moment later. */
 const restartHalf = async (world: StatementWorld) => world.restart(world.fleet.boxes.slice(0, 3))
 const cutTwo = ({ fleet }: StatementWorld) => fleet.cutOff(fleet.boxes.slice(0, 2))
+const storeOut = ({ fleet }: StatementWorld) => void (fleet.store.isOut = true)
 const cutNobody = ({ fleet }: StatementWorld) => fleet.cutOff([])
 
 /** Where others can carry what the limited ones don't take. */
@@ -77,11 +78,30 @@
   'take 1 a second while the store is out': {
     says: [limited(10, 1)],
     takes: 10,
-    trouble: [
-      { at: 3_000, strike: ({ fleet }: StatementWorld) => void (fleet.store.isOut = true) },
-    ],
+    trouble: [{ at: 3_000, strike: storeOut }],
   },
 }
+const LEAVING: Says[] = [
+  { service: 'pool', count: 3, from: FROM, isLeaving: true },
+  { service: 'desk', count: 1, from: FROM, isLeaving: true },
+]
+/** Entries of those that leave go, and come back as they were. */
+const unlist = (isUnlisted: boolean) => (world: StatementWorld) => {
+  for (const upstream of world.upstreams.slice(0, 3)) upstream.isUnlisted = isUnlisted
+  world.list()
+}
+const LEAVING_TROUBLE: Record<string, NonNullable<StatementPlay['trouble']>> = {
+  'a store that is out': [{ at: 3_000, strike: storeOut }],
+  'entries that say ready later': [5_000, 6_200, 7_400].map(at => ({
+    at,
+    strike: (world: StatementWorld) => world.list(),
+  })),
+  'entries that go and come back': [
+    { at: 5_000, strike: unlist(true) },
+    { at: 9_000, strike: unlist(false) },
+  ],
+}
+
 /** Part of what upstreams in need take that boxes send them at the least, 0 to 1: each is used as far as it offers. */
 const LEAST_USED = 0.7
 
@@ -151,8 +171,8 @@
       trouble: [{ at: 6_000, strike: world => world.restart(world.fleet.boxes.slice(0, 5)) }],
     })
     for (const { gateway, identity } of played.fleet.boxes) {
-      const { upstreams } = gateway.services
-      const known = [...upstreams.all()].filter(({ limit }) => limit?.perSecond === 1)
+      const { statements } = gateway.services
+      const known = statements.current().filter(({ limit }) => limit?.perSecond === 1)
       expect(known.length, identity.box).to.equal(10)
     }
   })
@@ -169,6 +189,8 @@
  * What users saw: calls still reached an upstream that had said that it leaves, two and more seconds later, for twelve seconds on end.
  * Order of events: the store answers nobody; an upstream leaves, and can't write that into its entry; its answers say so; the boxes pass them on, and
  * send there as before.
+ * Cause: as above, what an upstream says of itself ended with the request that it answered; only its entry counted.
+ * Evidence: with a store that answers, too, 713 calls and streams of 20 s reached upstreams whose entry stands unchanged, from every box.
  */
 describe('an upstream whose answers say that it leaves', () => {
   it('gets nothing from a box that it told, though its entry does not change', async () => {
@@ -180,6 +202,54 @@
     })
     expect(lateAtLeaving(played)).to.equal(0)
   })
+
+  for (const [name, trouble] of Object.entries(LEAVING_TROUBLE)) {
+    it(`gets nothing later than its news, and callers are served by others: ${name}`, async () => {
+      const played = await playStatements({ boxes: 9, says: LEAVING, trouble })
+      expect(lateAtLeaving(played)).to.equal(0)
+      expect(arrivalRate(saying(played, 'pool', 3), 12_000, END)).to.equal(0)
+      expect(servedShare(played, ['chat', 'check', 'hold'], FROM, END)).to.be.above(0.995)
+    })
+  }
+
+  it('is known to boxes that it never told', async () => {
+    const played = await playStatements({
+      boxes: 60,
+      duration: 8_000,
+      streams: 10,
+      calls: 0,
+      says: [{ service: 'pool', count: 3, from: FROM, isLeaving: true }],
+    })
+    expect(arrivalRate(saying(played, 'pool', 3), 6_000, 8_000)).to.equal(0)
+  })
+
+  it('takes requests again as another run', async () => {
+    const played = await playStatements({
+      says: [{ service: 'pool', count: 3, from: FROM, until: 10_000, isLeaving: true }],
+      trouble: [
+        {
+          at: 10_000,
+          strike({ upstreams, list }) {
+            for (const upstream of upstreams.slice(0, 3)) upstream.run++
+            list()
+          },
+        },
+      ],
+    })
+    expect(arrivalRate(saying(played, 'pool', 3), 9_000, 10_000)).to.equal(0)
+    expect(arrivalRate(saying(played, 'pool', 3), 13_000, END)).to.be.above(15)
+  })
+
+  it('leaves callers rejected at once where it is the only one', async () => {
+    const played = await playStatements({
+      streams: 0,
+      says: [{ service: 'desk', count: 4, from: FROM, isLeaving: true }],
+    })
+    const refused = played.ended.filter(({ at }) => at > FROM + SETTLED)
+    expect(lateAtLeaving(played)).to.equal(0)
+    expect(new Set(refused.map(({ status }) => status))).to.deep.equal(new Set([503]))
+    expect(Math.max(...refused.map(({ took }) => took))).to.equal(0)
+  })
 })
 
 /**
