Places at upstreams in need go to the most urgent request, to each organisation now and then, and who cannot get one is rejected at once

Cause: whoever looked at the right moment got the place; all others looked again for 0.3 s for a place that one of them could get. One waits only while fewer are ahead of it than places will come in its time.

--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -1,9 +1,13 @@
 import { SuspectRequest } from '@yewkeel/box'
 import {
+  noteServed,
   retryShareOf,
+  waitersAhead,
   type ExchangeOutcome,
   type Milliseconds,
   type PromptWork,
+  type Waiter,
+  type WaitingLine,
 } from '@yewkeel/decisions'
 import type { GatewayServices } from '../types/services.js'
 import type { CallerAnswer, OutgoingFields } from '../types/ports.js'
@@ -55,6 +59,7 @@
   #waitsFrom: Milliseconds
   readonly #timer: { cancel(): void }
   #onOver: (() => void) | undefined
+  readonly #waiter: Waiter
 
   constructor(
     readonly services: GatewayServices,
@@ -63,6 +68,11 @@
   ) {
     const { clock, rollouts, retries, metrics } = services
     this.#waitsFrom = clock.now()
+    const { organisation, route } = admitted
+    this.#waiter = {
+      urgency: urgencyOf(organisation?.priority ?? 0, route.priority),
+      organisation: organisation?.name ?? '',
+    }
     this.#log = new TryLog(clock, admitted.request.receivedAt)
     this.#suspect = createSuspect(services, admitted)
     this.#crashes = new CrashProbe(services, admitted, this.#suspect)
@@ -176,11 +186,24 @@
 
   /** An upstream that takes the request now, or within a short wait. Nothing is waited for where none could take it. */
   async findUpstream(prompt?: PromptWork): Promise<Upstream | undefined> {
+    const line = this.services.upstreams.lineOf(this.admitted.service)
+    line.waiters.add(this.#waiter)
+    const found = await this.#awaitUpstream(line, prompt)
+    line.waiters.delete(this.#waiter)
+    return found
+  }
+
+  async #awaitUpstream(
+    line: WaitingLine,
+    prompt: PromptWork | undefined,
+  ): Promise<Upstream | undefined> {
     const { clock, upstreams } = this.services
     const until = this.#waitsFrom + WAIT_SHARE * this.route.latencyObjective
     const query = this.#query(prompt)
     for (;;) {
+      query.ahead = waitersAhead(line, this.#waiter)
       const found = upstreams.pick(query)
+      if (found && upstreams.isHeld(found)) noteServed(line, this.#waiter)
       if (found) upstreams.noteChosen(found)
       if (found || this.isOver || clock.now() >= until || !upstreams.couldTake(query, until))
         return found
@@ -201,7 +224,7 @@
       upstreamId: upstream.listed.id,
       ...(organisation && { organisation: organisation.name }),
       ...fields,
-      urgency: urgencyOf(organisation?.priority ?? 0, route.priority),
+      urgency: this.#waiter.urgency,
     }
     this.tried.push(upstream.run)
     this.#sent = { upstream, send: this.#suspect.noteSent(upstream.run), sentAt: clock.now() }
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -1,5 +1,6 @@
 import {
   copySource,
+  createWaitingLine,
   createExchangeHealth,
   hashText,
   isEjected,
@@ -19,6 +20,7 @@
   type Random,
   type UpstreamCandidate,
   type VersionTrial,
+  type WaitingLine,
 } from '@yewkeel/decisions'
 import type { Channels, OpenChannels } from '../node/upstreamChannels.js'
 import type { EventLog, GatewayMetrics } from '../types/ports.js'
@@ -63,6 +65,8 @@
   channelLimit: number
   /** Upstreams that ended under the request in a row. 0 where it is left out. */
   crashes?: number
+  /** Others that wait for a place at an upstream in need, and get one first. 0 where it is left out. */
+  ahead?: number
 }
 
 /** What an upstream told of its load says little after this. */
@@ -98,6 +102,7 @@
   readonly list: UpstreamListTask
   readonly #upstreams = new Map<string, Upstream>()
   #evacuated: ReadonlySet<string> = new Set()
+  readonly #lines = new Map<string, WaitingLine>()
 
   constructor(private readonly options: UpstreamDirectoryOptions) {
     const { clock, log, namesService } = options
@@ -140,7 +145,8 @@
       candidates.push(upstream)
     }
     const { prompt, bodyBytes, trial, crashes = 0 } = query
-    const surest = query.tried.length === 0 ? candidates : this.#withoutHeld(candidates, now)
+    const isFirst = query.tried.length === 0
+    const surest = isFirst ? candidates : this.#withoutHeld(candidates, now)
     const admitted = trial ? keepTrialUpstreams(surest, trial) : surest
     const usable = placeSuspects(admitted, crashes, this.options.suspects.trialsAt())
     if (!prompt) return pickUpstream(usable, { random, dataCentre })
@@ -157,13 +163,28 @@
     return free.length > 0 ? free : candidates
   }
 
-  /** Whether some upstream would take a request until then, once one of its connections is free. */
+  /** Whether some upstream would take a request until then, once one of its connections is free and those ahead are served. */
   couldTake(query: PickQuery, until: Milliseconds): boolean {
     const { clock, budget } = this.options
     const now = clock.now()
-    return [...this.#upstreams.values()].some(
-      upstream => this.#isEligible(upstream, query) && budget.openings(upstream, now, until) > 0,
-    )
+    let openings = 0
+    for (const upstream of this.#upstreams.values())
+      if (this.#isEligible(upstream, query)) openings += budget.openings(upstream, now, until)
+    return openings > (query.ahead ?? 0)
+  }
+
+  /** The requests of a service that look for an upstream now. */
+  lineOf(service: string): WaitingLine {
+    const known = this.#lines.get(service)
+    if (known) return known
+    const line = createWaitingLine()
+    this.#lines.set(service, line)
+    return line
+  }
+
+  /** Whether a place there is one of few, for which requests wait. */
+  isHeld(upstream: Upstream): boolean {
+    return this.options.budget.isHeld(upstream, this.options.clock.now())
   }
 
   /**
@@ -298,10 +319,10 @@
 
   #isCandidate(upstream: Upstream, query: PickQuery, now: Milliseconds): boolean {
     const { channels } = upstream
+    const { budget } = this.options
     const hasChannel = channels.idle > 0 || channels.open < query.channelLimit
-    return (
-      this.#isEligible(upstream, query) && hasChannel && this.options.budget.admits(upstream, now)
-    )
+    if (!hasChannel || !this.#isEligible(upstream, query)) return false
+    return query.ahead ? !budget.isHeld(upstream, now) : budget.admits(upstream, now)
   }
 
   #hearsOthers(upstream: Upstream): boolean {
--- a/packages/gateway/test/playedStatements.ts
+++ b/packages/gateway/test/playedStatements.ts
@@ -151,7 +151,7 @@
           targets: [{ service: 'pool', weight: 1 }],
         }),
         createTestRoute({ name: 'check', prefix: '/check/', kind: 'unsafe' }),
-        createTestRoute({ name: 'hold', prefix: '/hold/', kind: 'safe' }),
+        createTestRoute({ name: 'hold', prefix: '/hold/', kind: 'safe', priority: 2 }),
       ],
       services: ['pool', 'desk'].map(name => ({ name, healthPath: '/', maxConnections: 4_000 })),
       limits: { bodyBytes: 1_000, headerTimeout: 1_000, idleTimeout: 1_000 },
--- a/packages/gateway/test/statements.test.ts
+++ b/packages/gateway/test/statements.test.ts
@@ -162,6 +162,17 @@
     })
   }
 
+  it('gets the more urgent requests first, and others too', async () => {
+    const played = await playStatements({
+      calls: 200,
+      says: [limited(4, 10, { service: 'desk' })],
+    })
+    const urgent = servedShare(played, ['check'], FROM + SETTLED, END)
+    const others = servedShare(played, ['hold'], FROM + SETTLED, END)
+    expect(urgent / others).to.be.above(1.5)
+    expect(others).to.be.above(0.04)
+  })
+
   it('gets as much as the others again once its answers name no limit', async () => {
     const played = await playStatements({ says: [limited(3, 1, { until: 12_000 })] })
     expect(limitExcess(played)).to.be.at.most(0)
