Requests without a session pass by a version on trial whose upstreams are in need; logs and figures tell what holds upstreams back

Cause: a request drawn for the new version had no upstream while all of that version's rested or were limited, and was refused though others could serve it. Change: such a request goes to the established version; sessions keep theirs, and a completed version its requests. Copies of prompts are not taken from upstreams in need. A refused request's line tells how many upstreams of its service were held back and by what; a gauge tells it for all.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -340,6 +340,8 @@
     return Math.max(services.boxCount(), peers.entered)
   }
 
+  metrics.watch('held', () => upstreams.heldBack())
+
   const startedAt = clock.now()
   const services: GatewayServices = {
     settings,
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,5 +1,5 @@
-import { Counter, Histogram, Registry } from 'prom-client'
-import type { CounterName, GatewayMetrics } from '../types/ports.js'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { CounterName, GatewayMetrics, GaugeName } from '../types/ports.js'
 
 /** Bounds of the latency histogram in seconds: from a quick call to the longest stream. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 25]
@@ -17,6 +17,10 @@
   storeCalls: 'calls to the store by outcome',
 }
 
+const GAUGE_HELP: Record<GaugeName, string> = {
+  held: 'upstreams that get fewer requests than they could work on, by why',
+}
+
 export interface MetricsPage extends GatewayMetrics {
   /** The figures in the usual text format. */
   text(): Promise<string>
@@ -47,6 +51,18 @@
       counters.requests.inc({ kind: outcome })
       latency.observe({ route, outcome }, duration / 1_000)
     },
+    watch(name, read) {
+      const gauge: Gauge<'kind'> = new Gauge({
+        name: `yewkeel_${name}`,
+        help: GAUGE_HELP[name],
+        labelNames: ['kind'],
+        registers: [registry],
+        collect() {
+          gauge.reset()
+          for (const [kind, level] of Object.entries(read())) gauge.set({ kind }, level ?? 0)
+        },
+      })
+    },
     text: () => registry.metrics(),
   }
 }
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -30,6 +30,9 @@
 /** To a request that is run no more. */
 const CONDEMNED = 502
 
+/** To a request that no upstream has run. */
+const NOT_RUN = 503
+
 /** Time that is kept back for the way to the upstream and back. */
 const TIME_KEPT_BACK: Milliseconds = 8
 /** How long a request waits for a connection of an upstream to come free, as a share of its latency objective. */
@@ -373,7 +376,7 @@
   giveUp(reason: string): void {
     if (this.isOver) return
     const isLate = this.timeLeft <= 0
-    const status = !this.mayHaveRun ? 503 : isLate ? 504 : 502
+    const status = !this.mayHaveRun ? NOT_RUN : isLate ? 504 : 502
     const retryAfter = this.mayHaveRun ? undefined : this.#comeBackAfter()
     const headers = this.services.dialect.writeRefusal(this.admitted.fields.id, retryAfter)
     this.answer.start(status, headers, true)
@@ -425,6 +428,7 @@
         configuration: services.operators.index?.configuration.revision,
         configurationAge: Math.round(services.operators.age),
         tries: this.#log.records,
+        ...(status === NOT_RUN && { held: services.upstreams.heldBack(admitted.service) }),
         sends: this.#tries.attempts,
       },
       isFailure,
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -230,14 +230,17 @@
     const request = session === undefined ? {} : { session }
     const isTarget = goesToTarget(shares, request, this.options.random)
     const versions = this.options.upstreams.readyVersions(service)
-    const hasTarget = versions.has(order.target)
     const others = [...versions.keys()].filter(version => version !== order.target)
-    const rejected = rejectedVersions(status, order)
     const hasOthers = others.length > 0
+    const isCompleted = status && isOf(status, order) && status.state === 'completed'
+    // A session keeps its version; other requests need not wait while the target's upstreams are in need.
+    const mayPass = session === undefined && hasOthers && !isCompleted
+    const isOpen = !mayPass || this.options.upstreams.takesNow(service, order.target)
+    const hasTarget = versions.has(order.target) && isOpen
+    const rejected = rejectedVersions(status, order)
     if (isTarget ? hasTarget : !hasOthers && shares.share > 0)
       return version => version === order.target
-    if (status && isOf(status, order) && status.state === 'completed' && hasTarget)
-      return version => version === order.target
+    if (isCompleted && hasTarget) return version => version === order.target
     return withoutRejected(rejected, version => version !== order.target, versions.keys())
   }
 
--- a/packages/gateway/src/tasks/sendBudget.ts
+++ b/packages/gateway/src/tasks/sendBudget.ts
@@ -35,7 +35,7 @@
 
 /** What may hold an upstream's requests back. */
 const BUDGET_SOURCES = ['cold', 'limit', 'rest'] as const
-type BudgetSource = (typeof BUDGET_SOURCES)[number]
+export type BudgetSource = (typeof BUDGET_SOURCES)[number]
 
 /** A rate that all boxes together keep to. */
 interface SharedRate extends RateShare {
@@ -91,6 +91,11 @@
     return opening === undefined || opening.at <= now
   }
 
+  /** What holds requests back there now. */
+  holds(upstream: Upstream, now: Milliseconds): BudgetSource[] {
+    return BUDGET_SOURCES.filter(source => this.#sources[source](upstream, now) !== undefined)
+  }
+
   /** Whether something holds requests back there, though one may be sent now. */
   isHeld(upstream: Upstream, now: Milliseconds): boolean {
     return this.#openingOf(upstream, now) !== undefined
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -24,7 +24,7 @@
 } from '@yewkeel/decisions'
 import type { Channels, OpenChannels } from '../node/upstreamChannels.js'
 import type { EventLog, GatewayMetrics } from '../types/ports.js'
-import type { SendBudget } from './sendBudget.js'
+import type { BudgetSource, SendBudget } from './sendBudget.js'
 import type { CrashSuspects } from '@yewkeel/box'
 import { placeSuspects } from './placeSuspects.js'
 import type { EngineWork } from './engineWork.js'
@@ -49,6 +49,9 @@
   sentAt: Milliseconds[]
 }
 
+/** Why an upstream gets fewer requests than it could work on. */
+export type HeldBy = BudgetSource | 'leaving'
+
 export interface PickQuery {
   service: string
   /** Versions that the request may run on. */
@@ -182,6 +185,19 @@
     return line
   }
 
+  /** Upstreams of a service that take requests and are held back, or leave, by what holds them. */
+  heldBack(service?: string): Partial<Record<HeldBy, number>> {
+    const now = this.options.clock.now()
+    const counts: Partial<Record<HeldBy, number>> = {}
+    const add = (reason: HeldBy) => void (counts[reason] = (counts[reason] ?? 0) + 1)
+    for (const upstream of this.#upstreams.values()) {
+      if (service !== undefined && upstream.listed.service !== service) continue
+      if (upstream.said.isLeaving) add('leaving')
+      else for (const source of this.options.budget.holds(upstream, now)) add(source)
+    }
+    return counts
+  }
+
   /** Whether a place there is one of few, for which requests wait. */
   isHeld(upstream: Upstream): boolean {
     return this.options.budget.isHeld(upstream, this.options.clock.now())
@@ -204,10 +220,13 @@
   /** From where an upstream copies the shared parts of a prompt in place of reading them, if that pays. */
   copySource(prompt: PromptWork, chosen: Upstream): Upstream | undefined {
     const { service } = chosen.listed
-    const now = this.options.clock.now()
+    const { clock, budget } = this.options
+    const now = clock.now()
     const members: Upstream[] = []
     for (const upstream of this.#upstreams.values()) {
       if (upstream.listed.service !== service || !this.#takesRequests(upstream)) continue
+      // A copy is work for the one that it is taken from, too.
+      if (budget.isHeld(upstream, now)) continue
       upstream.isEjected = isEjected(upstream.health, now)
       members.push(upstream)
     }
@@ -232,6 +251,19 @@
     return versions
   }
 
+  /** Whether some upstream of a version may be sent a request now. */
+  takesNow(service: string, version: string): boolean {
+    const { clock, budget } = this.options
+    const now = clock.now()
+    for (const upstream of this.#upstreams.values()) {
+      const { listed, health } = upstream
+      if (listed.service !== service || listed.version !== version) continue
+      if (this.#takesRequests(upstream) && !health.isGone && budget.admits(upstream, now))
+        return true
+    }
+    return false
+  }
+
   /** This box's exchanges under way at each version of a service. */
   inFlight(service: string): Map<string, number> {
     const counts = new Map<string, number>()
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -184,8 +184,12 @@
 export interface GatewayMetrics {
   count(name: CounterName, label: string): void
   observe(route: string, outcome: string, duration: Milliseconds): void
+  /** Reads a level by its labels whenever the figures are asked for. */
+  watch(name: GaugeName, read: () => Partial<Record<string, number>>): void
 }
 
+export type GaugeName = 'held'
+
 export type CounterName =
   | 'requests'
   | 'arrivals'
--- a/packages/gateway/test/rolloutTask.test.ts
+++ b/packages/gateway/test/rolloutTask.test.ts
@@ -18,6 +18,7 @@
     store: {} as RolloutTaskOptions['store'],
     upstreams: {
       readyVersions: () => versions,
+      takesNow: () => true,
       inFlight: () => new Map(),
     } as unknown as RolloutTaskOptions['upstreams'],
     rank: () => 0,
@@ -41,6 +42,38 @@
 const badOf = (task: RolloutTask, version: string, aspect: AnswerAspect) =>
   task.answers.find(count => count.version === version && count.aspect === aspect)?.bad
 
+describe('requests of a service that is rolled out', () => {
+  const admitted = (takesNow: boolean, session: (at: number) => string | undefined) => {
+    const versions = new Map([
+      ['v1', 2],
+      ['v2', 2],
+    ])
+    const upstreams = {
+      readyVersions: () => versions,
+      takesNow: () => takesNow,
+      inFlight: () => new Map(),
+    } as unknown as RolloutTaskOptions['upstreams']
+    const clock = new ManualClock()
+    const task = createTask({ clock, upstreams })
+    task.noteStoreClock(0, clock.now())
+    task.takeStatuses([
+      { service: 'pool', target: 'v2', state: 'active', startedAt: -18_000, revision: 6 },
+    ])
+    const requests = Array.from({ length: 400 }, (_, at) => task.admission('pool', session(at)))
+    return requests.filter(admits => admits('v2')).length
+  }
+
+  it('go to the established version while all upstreams of the new one are in need', () => {
+    expect(admitted(true, () => undefined)).to.be.above(0)
+    expect(admitted(false, () => undefined)).to.equal(0)
+  })
+
+  it('stay with their version where they are of a session', () => {
+    const session = (at: number) => `s${at}`
+    expect(admitted(false, session)).to.equal(admitted(true, session))
+  })
+})
+
 describe('evidence that a box gathers', () => {
   it('does not hold a long prompt against its version', () => {
     const task = createTask()
@@ -114,7 +147,11 @@
       ['v2', 2],
       ['v3', 1],
     ])
-    const upstreams = { readyVersions: () => versions, inFlight: () => new Map() }
+    const upstreams = {
+      readyVersions: () => versions,
+      takesNow: () => true,
+      inFlight: () => new Map(),
+    }
     const written: { rejected?: readonly string[] }[] = []
     const store = {
       writeRollout: (status: (typeof written)[number]) => {
@@ -153,7 +190,11 @@
 
   it('do not take in a version that came up without an order while an established one serves', () => {
     const versions = new Map([['v1', 2]])
-    const upstreams = { readyVersions: () => versions, inFlight: () => new Map() }
+    const upstreams = {
+      readyVersions: () => versions,
+      takesNow: () => true,
+      inFlight: () => new Map(),
+    }
     const task = createTask({ upstreams: upstreams as unknown as RolloutTaskOptions['upstreams'] })
     task.takeOrders([])
     expect(task.admission('pool', undefined)('v1')).to.equal(true)
