--- a/packages/box/src/requests/sendToUpstream.ts
+++ b/packages/box/src/requests/sendToUpstream.ts
@@ -2,6 +2,7 @@
   admit,
   chooseUpstream,
   earnRetry,
+  noteAskedRest,
   noteEnded,
   noteFailure,
   noteFirstToken,
@@ -30,8 +31,11 @@
   release(ended: AnswerEnd): void
 }
 
-/** `whole`: it came to its end, so that the request crashes nobody. `well`: it was wanted no more. `broken`: its upstream may have ended. */
-export type AnswerEnd = 'badly' | 'broken' | 'well' | 'whole'
+/**
+ * `whole`: it came to its end, so that the request crashes nobody. `well`: it was wanted no more. `broken`: its upstream may have ended.
+ * `turned-away`: the upstream asked for rest.
+ */
+export type AnswerEnd = 'badly' | 'broken' | 'turned-away' | 'well' | 'whole'
 
 export interface SendOptions {
   plan: SendPlan
@@ -52,6 +56,9 @@
 
 /** Statuses by which an upstream says that it did not take the request. */
 const NOT_TAKEN = new Set([404, 409, 429, 503])
+/** Statuses with which it may ask for rest. */
+const TURNS_AWAY = new Set([429, 503])
+const DECIMAL = /^\d{1,12}(\.\d{1,12})?$/
 
 /**
  * Sends a request to the best upstream. A try that is known not to have been taken may be made again
@@ -146,7 +153,7 @@
     services.uses.remove(plan.served, organisation)
     const isGood = ended === 'well' || ended === 'whole'
     if (isGood) noteSuccess(view, services.clock.now() - sentAt)
-    else noteFailure(view, services.clock.now())
+    else if (ended !== 'turned-away') noteFailure(view, services.clock.now())
     sends.noteEnd(view, send, ended)
     span.end(isGood ? undefined : 'the upstream failed')
   })
@@ -157,6 +164,13 @@
       signal: request.signal,
       answerWithin: plan.admission.deadline - sentAt,
     })
+    const rest = readRest(answer)
+    if (rest !== undefined) {
+      noteAskedRest(view, rest, services.clock.now())
+      services.log.info({ upstream: view.id, rest }, 'an upstream asks for rest')
+      release('turned-away')
+      return Result.err(refuseFailed(view, `answered with status ${answer.status}`, true))
+    }
     if (answer.status >= 500 || NOT_TAKEN.has(answer.status)) {
       release(answer.status === 429 || answer.status === 404 ? 'well' : 'badly')
       return Result.err(
@@ -175,6 +189,12 @@
   }
 }
 
+/** How long a rest the upstream asks for that has turned the request away. */
+function readRest({ status, headers }: UpstreamAnswer): Milliseconds | undefined {
+  const seconds = TURNS_AWAY.has(status) ? headers['retry-after'] : undefined
+  return seconds !== undefined && DECIMAL.test(seconds) ? Number(seconds) * 1_000 : undefined
+}
+
 /** The refusal with a verdict that is true of the request and not of its last try alone. */
 export function withTrueVerdict({ mayHaveRun }: RequestContext, refusal: Refusal): Refusal {
   const isUntrue = mayHaveRun && refusal.verdict === 'not-run'
--- a/packages/decisions/src/upstreams/upstreamView.ts
+++ b/packages/decisions/src/upstreams/upstreamView.ts
@@ -1,3 +1,4 @@
+import { NO_REST, restUntil } from '../budgets/rest.js'
 import type { Milliseconds } from '../types/clock.js'
 
 export type UpstreamKind = 'engine' | 'service'
@@ -37,6 +38,8 @@
   firstTokenMilliseconds: number
   requestMilliseconds: number
   health: UpstreamHealth
+  /** Until then it wants nothing from this box. */
+  restUntil: Milliseconds
 }
 
 /** Whether an upstream gets work, by how its requests ended. */
@@ -72,12 +75,13 @@
     firstTokenMilliseconds: 200,
     requestMilliseconds: 2_000,
     health: { state: 'healthy', failures: 0, ejectedUntil: 0, ejections: 0 },
+    restUntil: NO_REST,
   }
 }
 
 /** Whether new work may go to the upstream. A probing one takes one request at a time. */
 export function takesWork(view: UpstreamView, now: Milliseconds): boolean {
-  if (view.state !== 'live') return false
+  if (view.state !== 'live' || now < view.restUntil) return false
   if (view.health.state === 'healthy') return true
   if (view.health.state === 'probing') return view.inFlight === 0
   if (now < view.health.ejectedUntil) return false
@@ -129,6 +133,11 @@
   view.health = { state: 'healthy', failures: 0, ejectedUntil: 0, ejections: 0 }
 }
 
+/** It turned a request away and asked for rest, which is no failure: an ejection would spare it for longer than it asked. */
+export function noteAskedRest(view: UpstreamView, span: Milliseconds, now: Milliseconds): void {
+  view.restUntil = restUntil(view.restUntil, span, now)
+}
+
 /** Counts a failure that is the upstream's own; enough in a row eject it, each time for longer. */
 export function noteFailure(view: UpstreamView, now: Milliseconds): void {
   const health = view.health
