The soak's upstreams name limits, ask for rest and leave by their answers alone

Four promises, counted where requests arrive: a limit holds over all boxes that were told, a rest for the box that was asked, a leaving for the box that was told, and whoever was spared is used again. A double breaks each.

--- a/packages/soak/src/checks/evidence.ts
+++ b/packages/soak/src/checks/evidence.ts
@@ -1,3 +1,4 @@
+import type { UpstreamWords } from '@yewkeel/platform/stand-ins'
 import type { Attempt, FaultSpan, Instant, Run } from './seen.js'
 
 /** A change that the operators made, and when the store took it. */
@@ -28,6 +29,23 @@
   at: Instant
 }
 
+/** An upstream says something of itself in all its answers. */
+export interface StatementSpan {
+  instance: string
+  words: UpstreamWords
+  from: Instant
+  until: Instant
+}
+
+/** An answer of an upstream that says something of itself. */
+export interface SaidAnswer {
+  instance: string
+  /** Of the attempt that it answers. */
+  id: string
+  words: UpstreamWords
+  at: Instant
+}
+
 /** An order to move a service to another version, and what came of it. */
 export interface SeenRollout {
   service: string
@@ -53,15 +71,24 @@
   readonly routeMoves: RouteMove[] = []
   readonly leavings: Leaving[] = []
   readonly faults: FaultSpan[] = []
+  readonly statements: StatementSpan[] = []
+  readonly said: SaidAnswer[] = []
   /** Of the request that ends each upstream that runs it. */
   readonly killers = {
     /** Where each of its attempts went. */
     boxes: new Map<string, string>(),
     crashes: [] as { id: string; at: Instant }[],
   }
+  /** Upstreams that live when the run ends. */
+  lastListed: ReadonlySet<string> = new Set()
   /** All faults were over. */
   calmFrom: Instant = Infinity
 
+  /** The box to which the caller of an attempt sent it. */
+  boxOf(id: string): string | undefined {
+    return this.attempts.get(id)?.box ?? this.killers.boxes.get(id)
+  }
+
   noteRun(run: Run): void {
     const runs = this.runs.get(run.id)
     if (runs) runs.push(run)
--- a/packages/soak/src/checks/seen.ts
+++ b/packages/soak/src/checks/seen.ts
@@ -68,3 +68,7 @@
   | 'roll-out'
   | 'crashing-request'
   | 'condemned-nobody'
+  | 'limit'
+  | 'rest'
+  | 'leaving'
+  | 'used-again'
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -20,6 +20,7 @@
   type PlannedCrashes,
 } from './world/crashes.js'
 import { planRollout, Rollout, type PlannedRollout } from './world/rollout.js'
+import { planStatements, Statements, type PlannedStatement } from './world/statements.js'
 import { Upstreams } from './world/upstreams.js'
 
 export interface SeedOptions {
@@ -38,6 +39,8 @@
   rollout?: PlannedRollout
   /** In place of the seed's own crashes, if it has some. */
   crashes?: PlannedCrashes
+  /** In place of what upstreams say of themselves in the seed. */
+  statements?: readonly PlannedStatement[]
 }
 
 export interface SeedResult {
@@ -94,18 +97,27 @@
   const crashes =
     plannedCrashes &&
     new Crashes({ planned: plannedCrashes, targets, upstreams, evidence, random, key, now })
+  const statements = new Statements({
+    planned: options.statements ?? planStatements(seed, seconds),
+    upstreams,
+    evidence,
+    now,
+  })
   const rollout = planned && new Rollout({ planned, rows, upstreams, evidence, now })
   try {
     callers.start()
     await sleep(WARM_UP_MS)
     await rollout?.start()
     crashes?.start()
+    statements.start()
     await injectFaults(plan, { boxes, upstreams, rows, random, ...operators }, evidence, now)
     evidence.calmFrom = now()
     await sleep(CALM_MS)
     crashes?.stop()
+    statements.stop()
     rollout?.stop()
     await callers.stop()
+    evidence.lastListed = new Set(upstreams.places.map(({ standIn }) => standIn.instance))
   } finally {
     for (const { process, callerProxy, storeProxy } of boxes) {
       await process.dispose()
--- a/packages/soak/src/world/upstreams.ts
+++ b/packages/soak/src/world/upstreams.ts
@@ -121,6 +121,23 @@
     }, SERVES_ON_MS)
   }
 
+  /** Its answers alone say that it leaves; it serves on and ends, and another one starts beside it. */
+  async leaveSilently(place: UpstreamPlace): Promise<void> {
+    const { rows } = this.options
+    const leaving = place.standIn
+    const proxy = await startLoopbackProxy(this.options.host, () => leaving.address)
+    const row = (sequence: number) =>
+      writeUpstream(place.service, place.version, proxy.address, 'ready', sequence)
+    rows.put(UPSTREAMS_TABLE, leaving.instance, row(++this.#sequence))
+    place.standIn = await this.#startNext(place)
+    this.#writeRow(place, 'ready')
+    setTimeout(() => {
+      rows.remove(UPSTREAMS_TABLE, leaving.instance)
+      leaving.crash()
+      proxy.close()
+    }, SERVES_ON_MS)
+  }
+
   /** All upstreams of a version end at once. */
   removeVersion(service: string, version: string): void {
     const isRemoved = (place: UpstreamPlace) =>
@@ -158,6 +175,7 @@
       onArrival: id => void evidence.arrivals.push({ id, service, version, instance, at: now() }),
       onRun: run => evidence.noteRun({ ...run, service, at: now() }),
       onKiller: id => this.#kill(instance, id),
+      onSaid: (id, words) => void evidence.said.push({ instance, id, words, at: now() }),
     })
     this.#instances.set(instance, standIn)
     return standIn
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -10,6 +10,7 @@
   type PlannedCrashes,
   type PlannedFault,
   type PlannedRollout,
+  type PlannedStatement,
   type PromiseName,
 } from '../src/index.js'
 import { createBrokenBox } from './brokenBox.js'
@@ -185,8 +186,28 @@
   // The killer comes for long enough that three ends and the 3 s after them are past.
   'crashing-request': NOTHING_FOR_6_S,
   'condemned-nobody': [],
+  limit: NOTHING_FOR_6_S,
+  rest: NOTHING_FOR_6_S,
+  leaving: NOTHING_FOR_6_S,
+  'used-again': [],
 }
 
+/** What upstreams say from the start on, to bring promises about that to light. */
+const STATEMENTS: Partial<Record<PromiseName, PlannedStatement['words']>> = {
+  limit: { limit: 0.5 },
+  rest: { rest: 3 },
+  leaving: { isLeaving: true },
+  'used-again': { limit: 2 },
+}
+
+const statementOf = (words: PlannedStatement['words']): PlannedStatement => ({
+  at: 0,
+  lasts: words.limit === 2 ? 500 : 20_000,
+  service: 'desk',
+  share: 0.5,
+  words,
+})
+
 /** The roll-outs that bring promises about versions to light. */
 const ROLLOUTS: Partial<Record<PromiseName, PlannedRollout>> = {
   exposure: createRollout('errors'),
@@ -218,6 +239,7 @@
         plan: PLANS[promise],
         ...(promise === 'crashing-request' && { crashes: KILLER }),
         ...(ROLLOUTS[promise] && { rollout: ROLLOUTS[promise] }),
+        ...(STATEMENTS[promise] && { statements: [statementOf(STATEMENTS[promise])] }),
         createBox: (_program, place) => createBrokenBox(promise, place),
       })
     // All worlds run in this process: half of them at a time, or callers come too seldom beside other load.
