Whose word it is: words of another process, of nobody, or of an answer that lay here while the box stood still are passed over

Cause: by reading: a 421 without a name comes from whoever has the address now. Ruled out by tests: unsigned answers, other names, unreadable figures. Change: a 421 speaks for the upstream only where it names it. A table of cases; 195 boxes on the moved clock. A request that waits stops looking at the first upstream that takes it.

--- a/packages/gateway/src/requests/exchangeWithUpstream.ts
+++ b/packages/gateway/src/requests/exchangeWithUpstream.ts
@@ -4,6 +4,9 @@
 import type { Upstream } from '../tasks/upstreamDirectory.js'
 import type { AnswerFields, Dialect, RawHeaders } from '../types/ports.js'
 
+/** The status of whoever is not the process that the request names. */
+export const MISDIRECTED = 421
+
 /** The head of an upstream's answer. */
 export interface AnswerHead {
   status: number
--- a/packages/gateway/src/requests/forwardCall.ts
+++ b/packages/gateway/src/requests/forwardCall.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@yewkeel/decisions'
 import type { Upstream } from '../tasks/upstreamDirectory.js'
-import type { AnswerHead, ExchangeFault } from './exchangeWithUpstream.js'
-import { MISDIRECTED, type ForwardedRequest } from './forwardedRequest.js'
+import { MISDIRECTED, type AnswerHead, type ExchangeFault } from './exchangeWithUpstream.js'
+import type { ForwardedRequest } from './forwardedRequest.js'
 
 /** A try at a call came to no whole answer. */
 interface CallFault {
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -17,6 +17,7 @@
 import { CrashProbe, type ProbedRun } from './crashProbe.js'
 import {
   exchangeWithUpstream,
+  MISDIRECTED,
   type AnswerHead,
   type ExchangeHandler,
   type RunningExchange,
@@ -24,9 +25,6 @@
 import { TryAccount } from './tryAccount.js'
 import { TryLog } from './tryLog.js'
 
-/** The status of whoever is not the process that the request names. */
-export const MISDIRECTED = 421
-
 /** To a request that is run no more. */
 const CONDEMNED = 502
 
--- a/packages/gateway/src/tasks/statementTask.ts
+++ b/packages/gateway/src/tasks/statementTask.ts
@@ -10,7 +10,7 @@
   type SharedLimit,
   type StatedLimit,
 } from '@yewkeel/decisions'
-import type { AnswerHead } from '../requests/exchangeWithUpstream.js'
+import { MISDIRECTED, type AnswerHead } from '../requests/exchangeWithUpstream.js'
 import type { Statement } from '../types/gossip.js'
 import type { EventLog, GatewayMetrics } from '../types/ports.js'
 import type { PauseWatch } from './pauseWatch.js'
@@ -191,8 +191,9 @@
 }
 
 /** Another process at the upstream's address speaks for itself, and bytes that no upstream made for nobody. */
-function isOfRun({ fields }: AnswerHead, { listed }: Upstream): boolean {
-  if (fields.answeredBy !== undefined && fields.answeredBy !== listed.id) return false
+function isOfRun({ status, fields }: AnswerHead, { listed }: Upstream): boolean {
+  if (fields.answeredBy !== undefined) return fields.answeredBy === listed.id
+  if (status === MISDIRECTED) return false
   return fields.isSigned || (fields.isNotRun && fields.id !== undefined)
 }
 
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -170,10 +170,13 @@
   couldTake(query: PickQuery, until: Milliseconds): boolean {
     const { clock, budget } = this.options
     const now = clock.now()
+    const { ahead = 0 } = query
     let openings = 0
-    for (const upstream of this.#upstreams.values())
+    for (const upstream of this.#upstreams.values()) {
       if (this.#isEligible(upstream, query)) openings += budget.openings(upstream, now, until)
-    return openings > (query.ahead ?? 0)
+      if (openings > ahead) return true
+    }
+    return false
   }
 
   /** The requests of a service that look for an upstream now. */
--- a/packages/gateway/test/statements.test.ts
+++ b/packages/gateway/test/statements.test.ts
@@ -46,6 +46,7 @@
   },
   'three of ten at nine boxes': { boxes: 9, says: [limited(3, 0.3)] },
   'three of ten at 60 boxes': { boxes: 60, duration: 14_000, says: [limited(3, 2.3)] },
+  'three of ten at 195 boxes': { boxes: 195, duration: 9_000, says: [limited(3, 2.3)] },
 }
 
 /** Where all are in need. What they take, in requests a second of all together. */
