Each of the directory of upstreams, the outcomes of exchanges and the search for an upstream has a file of its own

Behaviour is as it was; the types of an upstream and of what it says lie apart, so that the budget, the statements and the directory form no circle.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -23,6 +23,7 @@
 import { StatementTask } from './tasks/statementTask.js'
 import { StoreReader } from './tasks/storeReader.js'
 import { UpstreamDirectory } from './tasks/upstreamDirectory.js'
+import { UpstreamOutcomes } from './tasks/upstreamOutcomes.js'
 import type { GatewayMessage, GatewayState } from './types/gossip.js'
 import type {
   CallerAnswer,
@@ -161,7 +162,6 @@
     random,
     dataCentre: settings.dataCentre,
     log,
-    metrics,
     work,
     budget,
     saidBy: run => statements.saidBy(run),
@@ -170,6 +170,12 @@
       operators.index === undefined || operators.index.service(name) !== undefined,
     knowsFarWork: () => peers.isMesh,
     suspects,
+  })
+  const outcomes: UpstreamOutcomes = new UpstreamOutcomes({
+    clock,
+    log,
+    metrics,
+    all: () => upstreams.all(),
     onUnreachable(upstream) {
       services.stalls.giveUpOn(upstream)
       reachability.awaitReturn(upstream)
@@ -181,7 +187,7 @@
     probe: ({ listed }) =>
       options.probe?.(listed.address) ?? probeConnection(listed.address, clock),
     isListed: upstream => upstreams.isListed(upstream),
-    onUnreachable: upstream => upstreams.noteOutcome(upstream, 'unreachable'),
+    onUnreachable: upstream => outcomes.note(upstream, 'unreachable'),
     onReachable: upstream => upstreams.noteReturned(upstream),
   })
   const rollouts: RolloutTask = new RolloutTask({
@@ -352,6 +358,7 @@
     dialect,
     operators,
     upstreams,
+    outcomes,
     rollouts,
     work,
     retries: createRetryShares({
--- a/packages/gateway/src/requests/crashProbe.ts
+++ b/packages/gateway/src/requests/crashProbe.ts
@@ -1,7 +1,7 @@
 import type { SuspectRequest, SuspectSend } from '@yewkeel/box'
 import type { Milliseconds } from '@yewkeel/decisions'
 import type { GatewayServices } from '../types/services.js'
-import type { Upstream } from '../tasks/upstreamDirectory.js'
+import type { Upstream } from '../types/upstream.js'
 import type { AdmittedRequest } from './admitCaller.js'
 
 /** A run of the request at an upstream. */
--- a/packages/gateway/src/requests/exchangeWithUpstream.ts
+++ b/packages/gateway/src/requests/exchangeWithUpstream.ts
@@ -1,7 +1,7 @@
 import type { ExchangeOutcome, Milliseconds } from '@yewkeel/decisions'
 import { isUnreachable } from '../node/connectInTime.js'
 import type { Exchange, ExchangeRequest } from '../node/upstreamChannels.js'
-import type { Upstream } from '../tasks/upstreamDirectory.js'
+import type { Upstream } from '../types/upstream.js'
 import type { AnswerFields, Dialect, RawHeaders } from '../types/ports.js'
 
 /** The status of whoever is not the process that the request names. */
--- a/packages/gateway/src/requests/forwardCall.ts
+++ b/packages/gateway/src/requests/forwardCall.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@yewkeel/decisions'
-import type { Upstream } from '../tasks/upstreamDirectory.js'
+import type { Upstream } from '../types/upstream.js'
 import { MISDIRECTED, type AnswerHead, type ExchangeFault } from './exchangeWithUpstream.js'
 import type { ForwardedRequest } from './forwardedRequest.js'
 
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -5,7 +5,7 @@
   type PromptWork,
 } from '@yewkeel/decisions'
 import type { ReadingPrompt } from '../tasks/engineWork.js'
-import type { Upstream } from '../tasks/upstreamDirectory.js'
+import type { Upstream } from '../types/upstream.js'
 import { EventRelay } from './eventRelay.js'
 import { OUTCOME_OF_FAULT, type AnswerHead, type ExchangeFault } from './exchangeWithUpstream.js'
 import type { ForwardedRequest } from './forwardedRequest.js'
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -1,18 +1,14 @@
 import { SuspectRequest } from '@yewkeel/box'
 import {
-  noteServed,
   retryShareOf,
-  waitersAhead,
   type ExchangeOutcome,
   type Milliseconds,
   type PromptWork,
-  type Waiter,
-  type WaitingLine,
 } from '@yewkeel/decisions'
 import type { GatewayServices } from '../types/services.js'
 import type { CallerAnswer, OutgoingFields } from '../types/ports.js'
 import type { AnswerKey, TimedAspect } from '../tasks/versionJudge.js'
-import type { PickQuery, Upstream } from '../tasks/upstreamDirectory.js'
+import type { Upstream } from '../types/upstream.js'
 import type { AdmittedRequest } from './admitCaller.js'
 import { CrashProbe, type ProbedRun } from './crashProbe.js'
 import {
@@ -24,6 +20,7 @@
 } from './exchangeWithUpstream.js'
 import { TryAccount } from './tryAccount.js'
 import { TryLog } from './tryLog.js'
+import { UpstreamSearch } from './upstreamSearch.js'
 
 /** To a request that is run no more. */
 const CONDEMNED = 502
@@ -33,11 +30,6 @@
 
 /** Time that is kept back for the way to the upstream and back. */
 const TIME_KEPT_BACK: Milliseconds = 8
-/** How long a request waits for a connection of an upstream to come free, as a share of its latency objective. */
-const WAIT_SHARE = 0.2
-/** When a refused caller is told to come back, where upstreams take requests. */
-const COME_BACK_AFTER: Milliseconds = 300
-
 /**
  * A request on its way: which upstreams it was sent to, whether it may have run, and its one final answer.
  */
@@ -56,11 +48,9 @@
   /** The newest opinion that a model gave of its answer to this request. */
   doubted: { model: string; confidence: number } | undefined
   #exchange: RunningExchange | undefined
-  /** It waits for an upstream from then on. */
-  #waitsFrom: Milliseconds
   readonly #timer: { cancel(): void }
   #onOver: (() => void) | undefined
-  readonly #waiter: Waiter
+  readonly #search: UpstreamSearch
 
   constructor(
     readonly services: GatewayServices,
@@ -68,16 +58,18 @@
     readonly answer: CallerAnswer,
   ) {
     const { clock, rollouts, retries, metrics } = services
-    this.#waitsFrom = clock.now()
-    const { organisation, route } = admitted
-    this.#waiter = {
-      urgency: urgencyOf(organisation?.priority ?? 0, route.priority),
-      organisation: organisation?.name ?? '',
-    }
     this.#log = new TryLog(clock, admitted.request.receivedAt)
     this.#suspect = createSuspect(services, admitted)
     this.#crashes = new CrashProbe(services, admitted, this.#suspect)
     this.admits = rollouts.admission(admitted.service, admitted.fields.session)
+    this.#search = new UpstreamSearch({
+      services,
+      admitted,
+      tried: this.tried,
+      admits: this.admits,
+      crashes: () => this.#suspect.crashes,
+      isOver: () => this.isOver,
+    })
     this.#tries = new TryAccount({
       clock,
       metrics,
@@ -164,52 +156,13 @@
    * takes the request.
    */
   beginsWithin(model: string): Milliseconds {
-    const { upstreams, work } = this.services
-    const prompt = work.promptWork(this.admitted.fields, model, this.route.models)
-    const tried = this.tried.slice(0, -1)
-    return upstreams.beginsWithin({ ...this.#query(prompt), tried, prompt })
-  }
-
-  #query(prompt: PromptWork | undefined): PickQuery {
-    const { service } = this.admitted
-    const trial = this.services.rollouts.trialOf(service)
-    return {
-      service,
-      admits: this.admits,
-      ...(trial && { trial }),
-      tried: this.tried,
-      ...(prompt && { prompt }),
-      bodyBytes: this.admitted.request.body.length,
-      channelLimit: this.services.channelLimit(service),
-      crashes: this.#suspect.crashes,
-    }
+    const prompt = this.services.work.promptWork(this.admitted.fields, model, this.route.models)
+    return this.#search.beginsWithin(prompt)
   }
 
-  /** An upstream that takes the request now, or within a short wait. Nothing is waited for where none could take it. */
-  async findUpstream(prompt?: PromptWork): Promise<Upstream | undefined> {
-    const line = this.services.upstreams.lineOf(this.admitted.service)
-    line.waiters.add(this.#waiter)
-    const found = await this.#awaitUpstream(line, prompt)
-    line.waiters.delete(this.#waiter)
-    return found
-  }
-
-  async #awaitUpstream(
-    line: WaitingLine,
-    prompt: PromptWork | undefined,
-  ): Promise<Upstream | undefined> {
-    const { clock, upstreams } = this.services
-    const until = this.#waitsFrom + WAIT_SHARE * this.route.latencyObjective
-    const query = this.#query(prompt)
-    for (;;) {
-      query.ahead = waitersAhead(line, this.#waiter)
-      const found = upstreams.pick(query)
-      if (found && upstreams.isHeld(found)) noteServed(line, this.#waiter)
-      if (found) upstreams.noteChosen(found)
-      if (found || this.isOver || clock.now() >= until || !upstreams.couldTake(query, until))
-        return found
-      await new Promise<void>(resolve => clock.after(LOOK_AGAIN, resolve))
-    }
+  /** An upstream that takes the request now, or within a short wait. */
+  findUpstream(prompt?: PromptWork): Promise<Upstream | undefined> {
+    return this.#search.find(prompt)
   }
 
   /** Sends the request to an upstream. */
@@ -225,7 +178,7 @@
       upstreamId: upstream.listed.id,
       ...(organisation && { organisation: organisation.name }),
       ...fields,
-      urgency: this.#waiter.urgency,
+      urgency: this.#search.urgency,
     }
     this.tried.push(upstream.run)
     this.#sent = { upstream, send: this.#suspect.noteSent(upstream.run), sentAt: clock.now() }
@@ -289,8 +242,8 @@
   noteTry(upstream: Upstream, outcome: ExchangeOutcome | undefined, detail: string): void {
     this.#log.end(detail)
     // Whoever is turned away does not wait anew for the next upstream.
-    if (outcome !== 'shed' && outcome !== 'gone') this.#waitsFrom = this.services.clock.now()
-    if (outcome) this.services.upstreams.noteOutcome(upstream, outcome)
+    if (outcome !== 'shed' && outcome !== 'gone') this.#search.waitAnew()
+    if (outcome) this.services.outcomes.note(upstream, outcome)
   }
 
   /** Counts an answer for or against its version. */
@@ -362,20 +315,12 @@
     this.finish('delivered', head.status)
   }
 
-  /** Drawn apart where upstreams hold requests back, so that those refused together don't come back together. */
-  #comeBackAfter(): Milliseconds {
-    const { upstreams, random } = this.services
-    const reopensIn = upstreams.reopensIn({ ...this.#query(undefined), tried: [] })
-    if (reopensIn === 0) return COME_BACK_AFTER
-    return Math.max(COME_BACK_AFTER, reopensIn) * (1 + random())
-  }
-
   /** The one answer of our own: whether the request can have run decides its status. */
   giveUp(reason: string): void {
     if (this.isOver) return
     const isLate = this.timeLeft <= 0
     const status = !this.mayHaveRun ? NOT_RUN : isLate ? 504 : 502
-    const retryAfter = this.mayHaveRun ? undefined : this.#comeBackAfter()
+    const retryAfter = this.mayHaveRun ? undefined : this.#search.comeBackAfter()
     const headers = this.services.dialect.writeRefusal(this.admitted.fields.id, retryAfter)
     this.answer.start(status, headers, true)
     this.answer.end(reason)
@@ -447,15 +392,3 @@
     route: route.name,
   })
 }
-
-const LOOK_AGAIN: Milliseconds = 12
-const LEAST_URGENT = 9
-const ROUTE_PRIORITIES = 3
-
-/** An organisation's priority counts before that of the route. */
-function urgencyOf(organisation: number, route: number): number {
-  return Math.min(
-    LEAST_URGENT,
-    organisation * ROUTE_PRIORITIES + Math.min(route, ROUTE_PRIORITIES - 1),
-  )
-}
--- a/packages/gateway/src/requests/stallWatch.ts
+++ b/packages/gateway/src/requests/stallWatch.ts
@@ -1,7 +1,7 @@
 import { every } from '@yewkeel/box'
 import type { Clock, Milliseconds } from '@yewkeel/decisions'
 import type { ReachabilityWatch } from '../tasks/reachabilityWatch.js'
-import type { Upstream } from '../tasks/upstreamDirectory.js'
+import type { Upstream } from '../types/upstream.js'
 import type { RunningExchange } from './exchangeWithUpstream.js'
 
 /** A streamed answer under way, and how long its upstream may say nothing. */
--- a/packages/gateway/src/tasks/placeSuspects.ts
+++ b/packages/gateway/src/tasks/placeSuspects.ts
@@ -1,5 +1,5 @@
 import { ALONE_FROM, type TrialsAt } from '@yewkeel/box'
-import type { Upstream } from './upstreamDirectory.js'
+import type { Upstream } from '../types/upstream.js'
 
 /** Upstreams that are kept free for suspects, as a part of those that could take a request. */
 const MOST_RESERVED_PART = 0.25
--- a/packages/gateway/src/tasks/reachabilityWatch.ts
+++ b/packages/gateway/src/tasks/reachabilityWatch.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds } from '@yewkeel/decisions'
 import { OPENS_WITHIN } from '../node/connectInTime.js'
-import type { Upstream } from './upstreamDirectory.js'
+import type { Upstream } from '../types/upstream.js'
 
 export interface ReachabilityWatchOptions {
   clock: Clock
--- a/packages/gateway/src/tasks/sendBudget.ts
+++ b/packages/gateway/src/tasks/sendBudget.ts
@@ -14,7 +14,7 @@
   type RateShare,
 } from '@yewkeel/decisions'
 import type { GatewayLimits } from '../types/settings.js'
-import type { Upstream } from './upstreamDirectory.js'
+import type { Upstream } from '../types/upstream.js'
 
 export interface SendBudgetOptions {
   clock: Clock
--- a/packages/gateway/src/tasks/statementTask.ts
+++ b/packages/gateway/src/tasks/statementTask.ts
@@ -14,23 +14,7 @@
 import type { Statement } from '../types/gossip.js'
 import type { EventLog, GatewayMetrics } from '../types/ports.js'
 import type { PauseWatch } from './pauseWatch.js'
-import type { Upstream } from './upstreamDirectory.js'
-
-/** What one run of an upstream has said of itself, in answers to this box or to others. */
-export interface Said {
-  /** Once it has named a limit. */
-  limit?: StatedLimit
-  /** It leaves, whatever its entry says: where the store is out the entry can't change. */
-  isLeaving: boolean
-  /** Until then it wants nothing from this box. */
-  restUntil: Milliseconds
-  /** The limit that the log told of last. */
-  loggedLimit?: number
-  /** Requests that this box has sent there since the last line about it. */
-  sent: number
-  /** One line for each run tells what nobody can read. */
-  hasUnreadable: boolean
-}
+import type { Said, Upstream } from '../types/upstream.js'
 
 export interface StatementTaskOptions {
   clock: Clock
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -6,49 +6,27 @@
   isEjected,
   keepTrialUpstreams,
   noteGone,
-  noteExchange,
   noteReachable,
   pickUpstream,
   runOf,
   SENDS_REMEMBERED,
   type Clock,
-  type ExchangeHealth,
-  type ExchangeOutcome,
   type ListedUpstream,
   type Milliseconds,
   type PromptWork,
   type Random,
-  type UpstreamCandidate,
   type VersionTrial,
   type WaitingLine,
 } from '@yewkeel/decisions'
-import type { Channels, OpenChannels } from '../node/upstreamChannels.js'
-import type { EventLog, GatewayMetrics } from '../types/ports.js'
+import type { OpenChannels } from '../node/upstreamChannels.js'
+import type { EventLog } from '../types/ports.js'
+import type { Said, Upstream } from '../types/upstream.js'
 import type { BudgetSource, SendBudget } from './sendBudget.js'
 import type { CrashSuspects } from '@yewkeel/box'
 import { placeSuspects } from './placeSuspects.js'
 import type { EngineWork } from './engineWork.js'
-import type { Said } from './statementTask.js'
 import { UpstreamListTask } from './upstreamListTask.js'
 
-/** An upstream that requests may be sent to. */
-export interface Upstream extends UpstreamCandidate {
-  /** Names the run that this is of. Asked for with each candidate of each choice. */
-  run: string
-  channels: Channels
-  health: ExchangeHealth
-  /** This box's own exchanges under way. */
-  inFlight: number
-  /** What the upstream last told of its load, and how much of that was ours. */
-  told?: { load: number; own: number; at: Milliseconds }
-  /** Until then it counts as cold. */
-  coldUntil: Milliseconds
-  /** What its run has said of itself. */
-  said: Said
-  /** When this box last chose it for requests, the newest at the end. */
-  sentAt: Milliseconds[]
-}
-
 /** Why an upstream gets fewer requests than it could work on. */
 export type HeldBy = BudgetSource | 'leaving'
 
@@ -74,15 +52,11 @@
 
 /** What an upstream told of its load says little after this. */
 const TOLD_LOAD_LIFETIME: Milliseconds = 1_500
-/** A box that heard no other upstream for this long may itself be cut off: it blames none for that. */
-const HEARS_OTHERS_WITHIN: Milliseconds = 1_000
-
 export interface UpstreamDirectoryOptions {
   clock: Clock
   random: Random
   dataCentre: string
   log: EventLog
-  metrics: GatewayMetrics
   work: EngineWork
   budget: SendBudget
   suspects: Pick<CrashSuspects, 'trialsAt'>
@@ -93,10 +67,6 @@
   namesService(service: string): boolean
   /** Whether the boxes of other data centres tell this one what they have sent to upstreams. */
   knowsFarWork(): boolean
-  /** An upstream takes no connections. */
-  onUnreachable(upstream: Upstream): void
-  /** Another process answers at an upstream's address. */
-  onGone(upstream: Upstream): void
 }
 
 /** The upstreams of the platform's list with what this box knows of each. */
@@ -281,29 +251,6 @@
     upstream.told = { load, own: upstream.inFlight, at: this.options.clock.now() }
   }
 
-  noteOutcome(upstream: Upstream, seen: ExchangeOutcome): void {
-    const { clock, log, metrics, onUnreachable, onGone } = this.options
-    const outcome = seen === 'unreachable' && !this.#hearsOthers(upstream) ? 'lost' : seen
-    metrics.count('exchanges', outcome)
-    const others = this.#othersBadShare(upstream)
-    if (!noteExchange(upstream.health, outcome, others, clock.now())) return
-    if (outcome === 'unreachable') onUnreachable(upstream)
-    if (outcome === 'gone') onGone(upstream)
-    metrics.count('ejections', upstream.listed.service)
-    const { id, service, address } = upstream.listed
-    const { badShare, samples, ejections } = upstream.health
-    log.note('upstream-ejected', {
-      upstream: id,
-      service,
-      address,
-      outcome,
-      badShare,
-      samples,
-      ejections,
-      others,
-    })
-  }
-
   /** Another box found another process at the address of an upstream's run. True if that is news. */
   takeGone(run: string): boolean {
     const upstream = this.ofRun(run)
@@ -360,24 +307,6 @@
     return query.ahead ? !budget.isHeld(upstream, now) : budget.admits(upstream, now)
   }
 
-  #hearsOthers(upstream: Upstream): boolean {
-    const since = this.options.clock.now() - HEARS_OTHERS_WITHIN
-    return [...this.#upstreams.values()].some(
-      other => other !== upstream && other.health.lastHeardAt > since,
-    )
-  }
-
-  #othersBadShare(upstream: Upstream): number {
-    let sum = 0
-    let count = 0
-    for (const other of this.#upstreams.values()) {
-      if (other === upstream || other.listed.service !== upstream.listed.service) continue
-      sum += other.health.badShare
-      count++
-    }
-    return count === 0 ? 0 : sum / count
-  }
-
   #keep(entry: ListedUpstream, isFirst: boolean): void {
     const now = this.options.clock.now()
     const known = this.#upstreams.get(entry.id)
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -6,6 +6,7 @@
 import type { ReachabilityWatch } from '../tasks/reachabilityWatch.js'
 import type { RolloutTask } from '../tasks/rolloutTask.js'
 import type { UpstreamDirectory } from '../tasks/upstreamDirectory.js'
+import type { UpstreamOutcomes } from '../tasks/upstreamOutcomes.js'
 import type { StatementTask } from '../tasks/statementTask.js'
 import type { StallWatch } from '../requests/stallWatch.js'
 import type { Dialect, EventLog, GatewayMetrics } from './ports.js'
@@ -21,6 +22,7 @@
   dialect: Dialect
   operators: OperatorTask
   upstreams: UpstreamDirectory
+  outcomes: UpstreamOutcomes
   rollouts: RolloutTask
   work: EngineWork
   retries: RetryShares
--- a/packages/gateway/test/fleet.test.ts
+++ b/packages/gateway/test/fleet.test.ts
@@ -247,10 +247,10 @@
     fleet.store.upstreams = names.map(createUpstream)
     fleet.add(60)
     await fleet.clock.advance(6_000)
-    const { upstreams } = fleet.boxes[0]!.gateway.services
+    const { upstreams, outcomes } = fleet.boxes[0]!.gateway.services
     const query = { service: 'pool', admits: () => true, tried: [], bodyBytes: 0, channelLimit: 9 }
     for (let found = upstreams.pick(query); found; found = upstreams.pick(query))
-      upstreams.noteOutcome(found, 'gone')
+      outcomes.note(found, 'gone')
     await fleet.clock.advance(100)
     for (const { identity, gateway } of fleet.boxes)
       expect(gateway.services.upstreams.couldTake(query, Infinity), identity.box).to.equal(false)
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -265,12 +265,12 @@
       })!
     const lost = pick('u1')
     pick('u2').health.lastHeardAt = Infinity
-    services.upstreams.noteOutcome(pick('u2'), 'unreachable')
+    services.outcomes.note(pick('u2'), 'unreachable')
     const answer = ask(running)
     await running.until(() => upstreams[0]!.requests.length > 0)
     services.upstreams.noteReturned(pick('u2'))
     const askedAt = running.clock.now()
-    services.upstreams.noteOutcome(lost, 'unreachable')
+    services.outcomes.note(lost, 'unreachable')
     expect((await answer).text).to.equal(events(1, 2))
     expect(running.clock.now() - askedAt).to.be.below(300)
     expect(services.rollouts.answers.filter(({ bad }) => bad > 0)).to.deep.equal([])
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -17,6 +17,7 @@
   UnreachableError,
   UpstreamChannels,
   UpstreamDirectory,
+  UpstreamOutcomes,
   type Upstream,
 } from '../src/index.js'
 
@@ -43,7 +44,6 @@
     random: createSeededRandom(3),
     dataCentre: 'a',
     log: { note: () => {}, request: () => {} },
-    metrics: createGatewayMetrics(),
     work: new EngineWork({ clock, tell: () => {}, role: () => 'direct', listeners: () => 0 }),
     budget: new SendBudget({
       clock,
@@ -60,20 +60,26 @@
     namesService: () => true,
     openChannels: address => new UpstreamChannels(address, clock),
     knowsFarWork: () => true,
+  })
+  const outcomes = new UpstreamOutcomes({
+    clock,
+    log: { note: () => {}, request: () => {} },
+    metrics: createGatewayMetrics(),
+    all: () => directory.all(),
     onGone: () => {},
     onUnreachable: upstream => void unreachable.push(upstream.listed.id),
   })
   directory.list.take([listed('one'), listed('two')], 1)
   const query = { service: 'pool', admits: () => true, bodyBytes: 0, channelLimit: 9 }
   const pick = (tried: string[]) => directory.pick({ ...query, tried })!
-  return { directory, unreachable, pick, one: pick(['two']), two: pick(['one']) }
+  return { directory, outcomes, unreachable, pick, one: pick(['two']), two: pick(['one']) }
 }
 
 describe('an upstream that cannot be reached', () => {
   it('is sent nothing until it answers again', async () => {
     const clock = new ManualClock()
-    const { directory, unreachable, pick, one, two } = createDirectory(clock)
-    directory.noteOutcome(one, 'unreachable')
+    const { directory, outcomes, unreachable, pick, one, two } = createDirectory(clock)
+    outcomes.note(one, 'unreachable')
     expect(unreachable).to.deep.equal(['one'])
     await clock.advance(20_000)
     expect(pick([])).to.equal(two)
@@ -84,9 +90,9 @@
 
   it('is not blamed by a box that hears no other upstream either', async () => {
     const clock = new ManualClock()
-    const { directory, unreachable, one } = createDirectory(clock)
+    const { outcomes, unreachable, one } = createDirectory(clock)
     await clock.advance(5_000)
-    directory.noteOutcome(one, 'unreachable')
+    outcomes.note(one, 'unreachable')
     expect(unreachable).to.deep.equal([])
   })
 })
