--- a/packages/decisions/src/budgets/sharedRate.ts
+++ b/packages/decisions/src/budgets/sharedRate.ts
@@ -3,10 +3,8 @@
  * each other, so each must know by itself what it may send.
  *
  * A few boxes alone send to such an upstream: those that rank highest for it, by rendezvous over the boxes that are entered. Each
- * waits for a while after each request. With 84 boxes and 98 engines that are all cold, asked for 330 prompts a second of which a
- * third share ten texts, no engine gets more than 9 in a second, where 18.2 are allowed, and 95 of 100 prompts are sent within
- * 0.3 s. Equal parts of all boxes (one request in 9.5 s each) send all of them, but 20 in a second to one engine, and 42 where only
- * ten engines are left; turns by a common clock send 94 of 100 and need that clock (played load, `coldLoad.test.ts`).
+ * waits for a while after each request. Equal parts of all boxes would add up to far more at one moment, and turns by a common
+ * clock need that clock (`coldLoad.test.ts` plays all three).
  */
 import type { Milliseconds } from '../types/clock.js'
 import { hashText, mixHashes } from '../utils/rendezvousHash.js'
