--- a/packages/gateway/src/tasks/sendBudget.ts
+++ b/packages/gateway/src/tasks/sendBudget.ts
@@ -28,6 +28,7 @@
   boxesVersion(): number
   /** The boxes that are entered, this one among them; none until the entries are known. */
   boxes(): readonly BoxPlace[]
+  /** How many those are; 0 until the entries are known. */
   boxCount(): number
   /** Whether other boxes were heard of a moment ago. */
   hearsOthers(): boolean
@@ -36,8 +37,10 @@
 /** What may hold an upstream's requests back. */
 const BUDGET_SOURCES = ['cold', 'limit', 'rest'] as const
 export type BudgetSource = (typeof BUDGET_SOURCES)[number]
+/** Of these all boxes together keep to a rate. */
+type SharedSource = Exclude<BudgetSource, 'rest'>
 
-/** A rate that all boxes together keep to. */
+/** A rate, and which boxes keep to it now. */
 interface SharedRate extends RateShare {
   turn: number
 }
@@ -69,7 +72,7 @@
  * How many requests this box may send to an upstream now, whatever holds them back: of several sources the least counts.
  */
 export class SendBudget {
-  readonly #drawn: Record<'cold' | 'limit', WeakMap<Upstream, Drawn>> = {
+  readonly #drawn: Record<SharedSource, WeakMap<Upstream, Drawn>> = {
     cold: new WeakMap(),
     limit: new WeakMap(),
   }
@@ -132,7 +135,7 @@
   }
 
   #shared(
-    source: 'cold' | 'limit',
+    source: SharedSource,
     upstream: Upstream,
     rate: SharedRate | undefined,
   ): Opening | undefined {
@@ -167,7 +170,7 @@
     return { ...share, turn: hearsOthers() ? limitTurn(limit, now) : limit.turn }
   }
 
-  #isSender(source: 'cold' | 'limit', upstream: Upstream, rate: SharedRate): boolean {
+  #isSender(source: SharedSource, upstream: Upstream, rate: SharedRate): boolean {
     const { self, boxesVersion, boxes } = this.options
     const { senders, turn } = rate
     const key = `${boxesVersion()} ${senders} ${turn}`
