A limit that stands is told again less often where many upstreams name one

Cause: by count: each news of a limit goes from each box to all of its neighbours; told every 2 s for each upstream, 98 limited ones would be some 400 messages and 27 KB a box and second, of the 29 KB that a box may take. Change: ten news a second for all upstreams together, each every 20 s at the least; a group of senders gives way after twice that time. Tests of the spans.

--- a/packages/decisions/src/budgets/statedLimit.ts
+++ b/packages/decisions/src/budgets/statedLimit.ts
@@ -18,8 +18,11 @@
   own: { perSecond: number; at: Milliseconds }
 }
 
-/** Others hear again of a limit that stands. */
+/** Others hear again of a limit that stands: after this, and where many upstreams name one, so many a second at the most ... */
 const TELL_AGAIN_AFTER: Milliseconds = 2_000
+const TOLD_PER_SECOND = 10
+/** ... but in time for it not to lapse. */
+const LONGEST_UNTOLD: Milliseconds = 20_000
 /**
  * News of others that are looser than what the upstream has just said to this box are older than it. Later they may not be: messages between
  * boxes that are held up for so long are dropped with their link.
@@ -27,9 +30,9 @@
 const OWN_COUNTS_FOR: Milliseconds = 1_000
 /** A limit of which nothing is heard for so long holds no more: nobody has asked, or the upstream answers nobody. */
 const LAPSES_AFTER: Milliseconds = 60_000
-/** A group of senders that has no callers gives way to the next: at the soonest after this ... */
-const LEAST_TURN: Milliseconds = 4_000
-/** ... or after the time for so many requests. */
+/** A group of senders that has no callers gives way to the next when it could have been heard twice ... */
+const TURN_TELLINGS = 2
+/** ... and has had time for so many requests. */
 const TURN_REQUESTS = 2.5
 const SECOND: Milliseconds = 1_000
 
@@ -37,17 +40,24 @@
   return { version: 0, turn: 0, heardAt: now, own: { perSecond: Infinity, at: -Infinity } }
 }
 
+/** After how long others hear again of a limit that stands, where so many upstreams name one. */
+export function tellAgainAfter(limited: number): Milliseconds {
+  const spread = (limited * SECOND) / TOLD_PER_SECOND
+  return Math.min(LONGEST_UNTOLD, Math.max(TELL_AGAIN_AFTER, spread))
+}
+
 /** An answer to this box names a limit, or none. True if the other boxes are to hear of it. */
 export function noteStatedLimit(
   state: StatedLimit,
   perSecond: number | undefined,
+  limited: number,
   now: Milliseconds,
 ): boolean {
   const isSame = state.perSecond === perSecond
   state.own = { perSecond: perSecond ?? Infinity, at: now }
-  const isOld = perSecond !== undefined && now - state.heardAt >= TELL_AGAIN_AFTER
+  const isOld = perSecond !== undefined && now - state.heardAt >= tellAgainAfter(limited)
   if (isSame && !isOld) return false
-  const turn = limitTurn(state, now)
+  const turn = limitTurn(state, limited, now)
   setLimit(state, {
     ...(perSecond !== undefined && { perSecond }),
     version: state.version + 1,
@@ -83,10 +93,13 @@
   return least === Infinity ? undefined : least
 }
 
-/** The group of boxes that sends now. */
-export function limitTurn(state: StatedLimit, now: Milliseconds): number {
+/** The group of boxes that sends now, where so many upstreams name a limit. */
+export function limitTurn(state: StatedLimit, limited: number, now: Milliseconds): number {
   if (state.perSecond === undefined) return 0
   const forRequests = (TURN_REQUESTS * SECOND) / state.perSecond
-  const span = Math.min(LAPSES_AFTER, Math.max(LEAST_TURN, forRequests))
+  const span = Math.min(
+    LAPSES_AFTER,
+    Math.max(TURN_TELLINGS * tellAgainAfter(limited), forRequests),
+  )
   return state.turn + Math.max(0, Math.floor((now - state.heardAt) / span))
 }
--- a/packages/decisions/test/statedLimit.test.ts
+++ b/packages/decisions/test/statedLimit.test.ts
@@ -9,6 +9,7 @@
   noteStatedLimit,
   sendersOf,
   takeSharedLimit,
+  tellAgainAfter,
   type Milliseconds,
   type SharedLimit,
 } from '../src/index.js'
@@ -61,7 +62,7 @@
 
   it('holds against looser news that are older than what this box has just heard', () => {
     const state = createStatedLimit(0)
-    noteStatedLimit(state, 2, 1_000)
+    noteStatedLimit(state, 2, 1, 1_000)
     takeSharedLimit(state, { perSecond: 8, version: 7, turn: 0 }, 1_200)
     expect(limitNow(state, 1_300)).to.equal(2)
     expect(limitNow(state, 2_100)).to.equal(8)
@@ -69,23 +70,39 @@
 
   it('ends with an answer that names none, and with long silence', () => {
     const state = createStatedLimit(0)
-    expect(noteStatedLimit(state, 2, 1_000)).to.equal(true)
-    expect(noteStatedLimit(state, 2, 1_500)).to.equal(false)
-    expect(noteStatedLimit(state, 2, 3_100)).to.equal(true)
+    expect(noteStatedLimit(state, 2, 1, 1_000)).to.equal(true)
+    expect(noteStatedLimit(state, 2, 1, 1_500)).to.equal(false)
+    expect(noteStatedLimit(state, 2, 1, 3_100)).to.equal(true)
     expect(limitNow(state, 60_000)).to.equal(2)
     expect(limitNow(state, 63_200)).to.equal(undefined)
-    noteStatedLimit(state, 2, 70_000)
-    expect(noteStatedLimit(state, undefined, 70_100)).to.equal(true)
+    noteStatedLimit(state, 2, 1, 70_000)
+    expect(noteStatedLimit(state, undefined, 1, 70_100)).to.equal(true)
     expect(limitNow(state, 70_100)).to.equal(undefined)
   })
 
+  it('is told again less often where many upstreams name one, and before it lapses', () => {
+    for (const [limited, span] of [
+      [1, 2_000],
+      [20, 2_000],
+      [100, 10_000],
+      [2_400, 20_000],
+    ] as const)
+      expect(tellAgainAfter(limited)).to.equal(span)
+    const state = createStatedLimit(0)
+    noteStatedLimit(state, 2, 100, 1_000)
+    expect(noteStatedLimit(state, 2, 100, 10_900)).to.equal(false)
+    expect(noteStatedLimit(state, 2, 100, 11_000)).to.equal(true)
+    expect(limitTurn(state, 100, 30_900)).to.equal(0)
+    expect(limitTurn(state, 100, 31_000)).to.equal(1)
+  })
+
   it('gives its share to other boxes where those that have it are silent', () => {
     const boxes = Array.from({ length: 9 }, (_, at) => ({ box: `box-${at}`, dataCentre: 'ebene' }))
     const state = createStatedLimit(0)
-    noteStatedLimit(state, 1, 0)
+    noteStatedLimit(state, 1, 1, 0)
     const share = limitShareOf(1, boxes.length)
     const sendersAt = (now: Milliseconds) => {
-      const place = { nameHash: 77, dataCentre: 'ebene', turn: limitTurn(state, now) }
+      const place = { nameHash: 77, dataCentre: 'ebene', turn: limitTurn(state, 1, now) }
       return sendersOf(place, boxes, share).map(({ box }) => box)
     }
     const first = sendersAt(3_900)
@@ -93,7 +110,7 @@
     const third = sendersAt(8_100)
     expect(new Set([...first, ...second, ...third]).size).to.equal(9)
     // Whoever was heard goes on to send.
-    noteStatedLimit(state, 1, 8_200)
+    noteStatedLimit(state, 1, 1, 8_200)
     expect(sendersAt(8_300)).to.deep.equal(third)
   })
 })
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -125,6 +125,7 @@
     overage: () => settings.coldOverage,
     boxesVersion: () => peers.entriesVersion,
     boxes: () => peers.places(),
+    limited: () => statements.limited,
     hearsOthers: () => peers.live().length > 0,
     boxCount: () => (peers.hasEntries ? Math.max(1, peers.entered) : 0),
   })
--- a/packages/gateway/src/tasks/sendBudget.ts
+++ b/packages/gateway/src/tasks/sendBudget.ts
@@ -30,6 +30,8 @@
   boxes(): readonly BoxPlace[]
   /** How many those are; 0 until the entries are known. */
   boxCount(): number
+  /** How many upstreams name a limit. */
+  limited(): number
   /** Whether other boxes were heard of a moment ago. */
   hearsOthers(): boolean
 }
@@ -163,11 +165,11 @@
   #limitRate({ said: { limit } }: Upstream, now: Milliseconds): SharedRate | undefined {
     const perSecond = limit && limitNow(limit, now)
     if (!limit || perSecond === undefined) return undefined
-    const { boxCount, hearsOthers } = this.options
+    const { boxCount, hearsOthers, limited } = this.options
     const count = boxCount()
     const share = count === 0 ? ALONE : limitShareOf(perSecond, count)
     // To a box that is cut off from the others their silence says nothing.
-    return { ...share, turn: hearsOthers() ? limitTurn(limit, now) : limit.turn }
+    return { ...share, turn: hearsOthers() ? limitTurn(limit, limited(), now) : limit.turn }
   }
 
   #isSender(source: SharedSource, upstream: Upstream, rate: SharedRate): boolean {
--- a/packages/gateway/src/tasks/statementTask.ts
+++ b/packages/gateway/src/tasks/statementTask.ts
@@ -35,6 +35,7 @@
 /** Statuses by which an upstream turns a request away, and may ask for rest. */
 const TURNS_AWAY = new Set([429, 503])
 const SECOND: Milliseconds = 1_000
+const COUNT_EVERY: Milliseconds = 200
 /** Runs of which something is remembered. Those that are listed no more are forgotten first. */
 const MOST_RUNS = 5_000
 
@@ -45,6 +46,8 @@
  */
 export class StatementTask {
   readonly #said = new Map<string, Said>()
+  #limited = 0
+  #countedAt: Milliseconds = -Infinity
 
   constructor(private readonly options: StatementTaskOptions) {}
 
@@ -80,6 +83,17 @@
     })
   }
 
+  /** How many upstreams that are listed name a limit, as of a moment ago. */
+  get limited(): number {
+    const now = this.options.clock.now()
+    if (now - this.#countedAt < COUNT_EVERY) return this.#limited
+    this.#countedAt = now
+    this.#limited = 0
+    for (const { said } of this.options.all())
+      if (said.limit?.perSecond !== undefined) this.#limited++
+    return this.#limited
+  }
+
   /** All that upstreams that are listed have said, for a box that links to this one. */
   current(): Statement[] {
     const entries: Statement[] = []
@@ -101,7 +115,7 @@
     if (isLooser && pauses.hasPausedSince(sentAt)) return
     // It names one, though nobody can read it.
     if (fields.limit === undefined && fields.unreadable) return
-    const isNews = noteStatedLimit(limit, fields.limit, now)
+    const isNews = noteStatedLimit(limit, fields.limit, this.limited, now)
     this.#logLimit(run, said, limit, 'answer')
     if (isNews) tell([{ run, limit: sharedOf(limit) }])
   }
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -53,6 +53,7 @@
       boxesVersion: () => 0,
       boxes: () => [],
       boxCount: () => 0,
+      limited: () => 0,
       hearsOthers: () => true,
     }),
     saidBy: () => ({ isLeaving: false, restUntil: NO_REST, sent: 0, hasUnreadable: false }),
