--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -234,7 +234,7 @@
     const hasOthers = others.length > 0
     const isCompleted = status && isOf(status, order) && status.state === 'completed'
     // A session keeps its version; other requests need not wait while the target's upstreams are in need.
-    const mayPass = session === undefined && hasOthers && !isCompleted
+    const mayPass = isTarget && session === undefined && hasOthers && !isCompleted
     const isOpen = !mayPass || this.options.upstreams.takesNow(service, order.target)
     const hasTarget = versions.has(order.target) && isOpen
     const rejected = rejectedVersions(status, order)
