--- a/packages/box/src/requests/sendToUpstream.ts
+++ b/packages/box/src/requests/sendToUpstream.ts
@@ -10,6 +10,7 @@
   noteSuccess,
   predictFirstToken,
   predictQueue,
+  readDecimal,
   refuseMayHaveRun,
   refuseNotRun,
   spendRetry,
@@ -58,7 +59,6 @@
 const NOT_TAKEN = new Set([404, 409, 429, 503])
 /** Statuses with which it may ask for rest. */
 const TURNS_AWAY = new Set([429, 503])
-const DECIMAL = /^\d{1,12}(\.\d{1,12})?$/
 
 /**
  * Sends a request to the best upstream. A try that is known not to have been taken may be made again
@@ -191,8 +191,8 @@
 
 /** How long a rest the upstream asks for that has turned the request away. */
 function readRest({ status, headers }: UpstreamAnswer): Milliseconds | undefined {
-  const seconds = TURNS_AWAY.has(status) ? headers['retry-after'] : undefined
-  return seconds !== undefined && DECIMAL.test(seconds) ? Number(seconds) * 1_000 : undefined
+  const seconds = TURNS_AWAY.has(status) ? readDecimal(headers['retry-after'] ?? '') : undefined
+  return seconds === undefined ? undefined : seconds * 1_000
 }
 
 /** The refusal with a verdict that is true of the request and not of its last try alone. */
--- a/packages/gateway/test/playedStatements.ts
+++ b/packages/gateway/test/playedStatements.ts
@@ -68,7 +68,6 @@
   firstLimitAt = Infinity
   /** Its present run; what was told of an earlier one holds no more. */
   run = 1
-  isDown = false
   /** Its entry is gone. */
   isUnlisted = false
 
@@ -157,7 +156,6 @@
       limits: { bodyBytes: 1_000, headerTimeout: 1_000, idleTimeout: 1_000 },
     },
     openChannels: address => channelsOf(byName.get(address)!),
-    probe: address => Promise.resolve(!byName.get(address)!.isDown),
   })
   const { clock, store } = fleet
   const sinceStart = () => clock.now() - STARTED_BY
@@ -168,11 +166,6 @@
       idle: 0,
       retire() {},
       send(request, listener) {
-        if (upstream.isDown) {
-          const refused = Object.assign(new Error('refused'), { code: 'ECONNREFUSED' })
-          clock.after(1, () => listener.onFailure(refused, false))
-          return { cancel() {} }
-        }
         const box = headerOf(request.headers, 'box')!
         const sentAt = Number(headerOf(request.headers, 'sent-at'))
         upstream.arrivals.push({ at: sinceStart(), box, sentAt })
--- a/packages/soak/src/world/upstreams.ts
+++ b/packages/soak/src/world/upstreams.ts
@@ -112,13 +112,7 @@
       writeUpstream(place.service, place.version, proxy.address, 'draining', ++this.#sequence),
     )
     evidence.leavings.push({ instance: leaving.instance, at: now() })
-    place.standIn = await this.#startNext(place)
-    this.#writeRow(place, 'ready')
-    setTimeout(() => {
-      rows.remove(UPSTREAMS_TABLE, leaving.instance)
-      leaving.crash()
-      proxy.close()
-    }, SERVES_ON_MS)
+    await this.#succeed(place, proxy)
   }
 
   /** Its answers alone say that it leaves; it serves on and ends, and another one starts beside it. */
@@ -126,13 +120,24 @@
     const { rows } = this.options
     const leaving = place.standIn
     const proxy = await startLoopbackProxy(this.options.host, () => leaving.address)
-    const row = (sequence: number) =>
-      writeUpstream(place.service, place.version, proxy.address, 'ready', sequence)
-    rows.put(UPSTREAMS_TABLE, leaving.instance, row(++this.#sequence))
+    const row = writeUpstream(
+      place.service,
+      place.version,
+      proxy.address,
+      'ready',
+      ++this.#sequence,
+    )
+    rows.put(UPSTREAMS_TABLE, leaving.instance, row)
+    await this.#succeed(place, proxy)
+  }
+
+  /** Another one starts in its place; it serves on for some time and ends. */
+  async #succeed(place: UpstreamPlace, proxy: LoopbackProxy): Promise<void> {
+    const leaving = place.standIn
     place.standIn = await this.#startNext(place)
     this.#writeRow(place, 'ready')
     setTimeout(() => {
-      rows.remove(UPSTREAMS_TABLE, leaving.instance)
+      this.options.rows.remove(UPSTREAMS_TABLE, leaving.instance)
       leaving.crash()
       proxy.close()
     }, SERVES_ON_MS)
