--- a/packages/decisions/src/exposure/judgeVersions.ts
+++ b/packages/decisions/src/exposure/judgeVersions.ts
@@ -1,7 +1,7 @@
 import type { Halts } from './halts.js'
 import { isHalted } from './halts.js'
 import type { EvidenceTotals } from './evidence.js'
-import { isShownWorse, type VersionEvidence, type WorseTestOptions } from './worseTest.js'
+import { isShownWorse, type VersionEvidence, type WorseTestOptions } from './isShownWorse.js'
 import { rampStateOf, ratingCoverage, roomToRamp } from './ramp.js'
 
 const NO_EVIDENCE: VersionEvidence = new Map()
--- a/packages/decisions/src/exposure/ramp.ts
+++ b/packages/decisions/src/exposure/ramp.ts
@@ -5,7 +5,7 @@
  * that run already keep their version.
  */
 import type { EvidenceTotal } from './evidence.js'
-import type { VersionEvidence } from './worseTest.js'
+import type { VersionEvidence } from './isShownWorse.js'
 
 /** Unrated answers that a version may have before any rating, over all boxes. */
 const FIRST_UNRATED = 60
--- a/packages/decisions/src/rollouts/versionEvidence.ts
+++ b/packages/decisions/src/rollouts/versionEvidence.ts
@@ -4,7 +4,7 @@
   logEvidenceOfAll,
   type VersionEvidence,
   type WorseTestOptions,
-} from '../exposure/worseTest.js'
+} from '../exposure/isShownWorse.js'
 import type { Milliseconds } from '../types/clock.js'
 
 /** What is judged of an answer: whether it came whole, how soon it began, and how fast it went on. */
