--- a/packages/decisions/src/budgets/statedLimit.ts
+++ b/packages/decisions/src/budgets/statedLimit.ts
@@ -23,10 +23,7 @@
 const TOLD_PER_SECOND = 10
 /** ... but in time for it not to lapse. */
 const LONGEST_UNTOLD: Milliseconds = 20_000
-/**
- * News of others that are looser than what the upstream has just said to this box are older than it. Later they may not be: messages between
- * boxes that are held up for so long are dropped with their link.
- */
+/** News of others that are looser than what the upstream said to this box within this time may be older than that. */
 const OWN_COUNTS_FOR: Milliseconds = 1_000
 /** A limit of which nothing is heard for so long holds no more: nobody has asked, or the upstream answers nobody. */
 const LAPSES_AFTER: Milliseconds = 60_000
