--- a/packages/box/src/requests/sendToUpstream.ts
+++ b/packages/box/src/requests/sendToUpstream.ts
@@ -14,6 +14,7 @@
   refuseMayHaveRun,
   refuseNotRun,
   spendRetry,
+  TURNS_AWAY,
   type Milliseconds,
   type Refusal,
   type RequestOutlook,
@@ -57,8 +58,6 @@
 
 /** Statuses by which an upstream says that it did not take the request. */
 const NOT_TAKEN = new Set([404, 409, 429, 503])
-/** Statuses with which it may ask for rest. */
-const TURNS_AWAY = new Set([429, 503])
 
 /**
  * Sends a request to the best upstream. A try that is known not to have been taken may be made again
--- a/packages/decisions/src/budgets/rest.ts
+++ b/packages/decisions/src/budgets/rest.ts
@@ -7,6 +7,9 @@
 /** ... until it has answered one, or so much later. */
 const RETURN_SPAN: Milliseconds = 1_000
 
+/** Statuses with which an upstream turns a request away, and may ask for rest. */
+export const TURNS_AWAY: ReadonlySet<number> = new Set([429, 503])
+
 /** No rest was asked for. */
 export const NO_REST: Milliseconds = -Infinity
 
--- a/packages/gateway/src/tasks/statementTask.ts
+++ b/packages/gateway/src/tasks/statementTask.ts
@@ -5,6 +5,7 @@
   noteStatedLimit,
   restUntil,
   takeSharedLimit,
+  TURNS_AWAY,
   type Clock,
   type Milliseconds,
   type SharedLimit,
@@ -32,8 +33,6 @@
 /** How this box heard it. */
 type Through = 'answer' | 'news'
 
-/** Statuses by which an upstream turns a request away, and may ask for rest. */
-const TURNS_AWAY = new Set([429, 503])
 const SECOND: Milliseconds = 1_000
 const COUNT_EVERY: Milliseconds = 200
 /** Runs of which something is remembered. Those that are listed no more are forgotten first. */
--- a/packages/gateway/test/playedStatements.ts
+++ b/packages/gateway/test/playedStatements.ts
@@ -111,7 +111,7 @@
 }
 
 /** The time at which everything has started and callers begin; the times of a play count from here. */
-export const STARTED_BY: Milliseconds = 3_000
+const STARTED_BY: Milliseconds = 3_000
 const POOL = 10
 const DESK = 4
 const SLOTS = 16
@@ -376,8 +376,6 @@
   return allowed
 }
 
-const MOST_IN_REST = 2
-
 /** The most requests that an upstream got from a box in a rest that it had asked that box for. */
 export function mostInRest({ upstreams, restarted }: PlayedStatements): number {
   const counts = upstreams.flatMap(({ arrivals, rests }) =>
@@ -395,8 +393,6 @@
   return Math.max(0, ...counts)
 }
 
-export const isRestKept = (played: PlayedStatements) => mostInRest(played) <= MOST_IN_REST
-
 const LEAVES_WITHIN: Milliseconds = 2_000
 
 /** Requests that reached an upstream although their caller sent them later than allowed after the box was told that it leaves. */
