Say who closed a caller's connection, and which requests were read but never handled

Ruled out: a metric; the request's id is what tells the cases apart. Change: outcome `connection-closed` beside `caller-left`, an event `request-dropped` (body-broken, caller-left, malformed), `unanswered` in `stopped`, which is written after the connections are closed. No change of logic.

--- a/packages/gateway/src/node/entryServer.ts
+++ b/packages/gateway/src/node/entryServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Server as ConnectionServer, Socket } from 'node:net'
 import { sleep, type Clock, type Milliseconds } from '@yewkeel/decisions'
-import type { CallerResponse, CallerRequest } from '../types/ports.js'
+import type { CallerResponse, CallerRequest, RawHeaders } from '../types/ports.js'
 import { listenOn } from './listenOn.js'
 
 /**
@@ -22,8 +22,16 @@
   clock: Clock
   bodyBytes(): number
   handle(request: CallerRequest, answer: CallerResponse): void
+  /** A connection ended under a request that `handle` has not been called with. */
+  onDropped(why: DropReason, headers: RawHeaders): void
 }
 
+/**
+ * Why a request was not handled: its body did not arrive whole, its caller had disconnected before
+ * it was handled, or its bytes are no request.
+ */
+export type DropReason = 'body-broken' | 'caller-left' | 'malformed'
+
 /** The HTTP server for callers. */
 export interface EntryServer {
   /** `host:port` as bound. */
@@ -34,7 +42,8 @@
   /** Sends `connection: close` with each answer from now on. */
   beginDrain(): void
   closeIdle(): void
-  close(): void
+  /** Closes all connections. Returns the number of requests that this leaves without an answer. */
+  close(): number
 }
 
 /**
@@ -49,17 +58,25 @@
 /** Serves callers over HTTP/1.1. Each request's body is buffered before `handle` is called. */
 export async function startEntryServer(options: EntryServerOptions): Promise<EntryServer> {
   let isDraining = false
+  let isClosed = false
   let openRequests = 0
   const server = createServer({ requireHostHeader: false }, (message, response) => {
     openRequests++
     response.once('close', () => openRequests--)
     if (isDraining) response.shouldKeepAlive = false
-    void serve(message, response, options, () => isDraining)
+    void serve(message, response, options, {
+      isDraining: () => isDraining,
+      isClosed: () => isClosed,
+    })
   })
   server.headersTimeout = DEFAULT_HEADER_TIMEOUT
   server.requestTimeout = 0
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT
-  server.on('clientError', (_error, socket) => socket.destroy())
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    // A reset of the caller's also arrives here; it ends no request that has been read.
+    if (error.code !== 'ECONNRESET') options.onDropped('malformed', [])
+    socket.destroy()
+  })
   if (options.opened) void adoptEntry(server, options.opened, options)
   else await listenOn(server, options.listen, { backlog: LISTEN_BACKLOG })
   const address = (options.opened?.server ?? server).address() as AddressInfo
@@ -75,8 +92,11 @@
     beginDrain: () => void (isDraining = true),
     closeIdle: () => server.closeIdleConnections(),
     close() {
+      isClosed = true
+      const unanswered = openRequests
       server.close()
       server.closeAllConnections()
+      return unanswered
     },
   }
 }
@@ -106,20 +126,26 @@
 const READY_TIMEOUT: Milliseconds = 400
 const READY_POLL_INTERVAL: Milliseconds = 5
 
+/** State of the server that its answers depend on. */
+interface EntryState {
+  isDraining(): boolean
+  isClosed(): boolean
+}
+
 async function serve(
   message: IncomingMessage,
   response: ServerResponse,
   options: EntryServerOptions,
-  isDraining: () => boolean,
+  state: EntryState,
 ): Promise<void> {
   const receivedAt = options.clock.now()
   const body = await readBody(message, options.bodyBytes())
-  if (body === 'broken') return
+  if (body === 'broken') return options.onDropped('body-broken', message.rawHeaders)
   if (body === 'too-large') {
     response.writeHead(413, { connection: 'close' }).end()
     return
   }
-  if (await hasDisconnected(message)) return
+  if (await hasDisconnected(message)) return options.onDropped('caller-left', message.rawHeaders)
   const request: CallerRequest = {
     method: message.method ?? 'GET',
     host: message.headers.host ?? '',
@@ -128,7 +154,7 @@
     body,
     receivedAt,
   }
-  options.handle(request, createAnswer(response, isDraining))
+  options.handle(request, createAnswer(response, state))
 }
 
 /**
@@ -168,7 +194,10 @@
   })
 }
 
-function createAnswer(response: ServerResponse, isDraining: () => boolean): CallerResponse {
+function createAnswer(
+  response: ServerResponse,
+  { isDraining, isClosed }: EntryState,
+): CallerResponse {
   return {
     start(status, headers, isFramed) {
       if (response.headersSent) return
@@ -181,7 +210,7 @@
     abort: () => void response.destroy(),
     onDisconnect(callback) {
       response.once('close', () => {
-        if (!response.writableFinished) callback()
+        if (!response.writableFinished) callback(isClosed() ? 'box' : 'caller')
       })
     },
   }
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -93,6 +93,9 @@
     bodyBytes: () =>
       gateway.services.operators.index?.configuration.limits.bodyBytes ?? DEFAULT_MAX_BODY_BYTES,
     handle: (request, answer) => gateway.handle(request, answer),
+    onDropped(why, headers) {
+      log.event('request-dropped', { id: options.dialect.readRequest(headers).id, why })
+    },
   })
   const peerAddress = await transport.open()
   gateway.start()
@@ -119,10 +122,13 @@
     entryAddress: entry.address,
     peerAddress,
     async stop() {
-      await drain(gateway, entry, settings, clock, log)
+      const startedAt = clock.now()
+      await drain(gateway, entry, settings, clock)
+      const underWay = entry.openRequests
       await gateway.stop()
       for (const server of servers) server.close()
-      entry.close()
+      const unanswered = entry.close()
+      log.event('stopped', { after: Math.round(clock.now() - startedAt), underWay, unanswered })
     },
   }
 }
@@ -138,7 +144,6 @@
   entry: EntryServer,
   settings: GatewaySettings,
   clock: Clock,
-  log: EventLog,
 ): Promise<void> {
   const startedAt = clock.now()
   gateway.startDraining()
@@ -150,9 +155,7 @@
     if (entry.openRequests > 0) lastBusyAt = now
     if (now - startedAt > IDLE_CLOSE_DELAY) entry.closeIdle()
     const isQuiet = now - lastBusyAt > DRAIN_QUIET_DURATION && now - startedAt > MIN_DRAIN_DURATION
-    if (!isQuiet && now - startedAt < settings.stopWithin) continue
-    log.event('stopped', { after: Math.round(now - startedAt), underWay: entry.openRequests })
-    return
+    if (isQuiet || now - startedAt >= settings.stopWithin) return
   }
 }
 
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -27,6 +27,9 @@
 /** Status for a request that no upstream has processed. */
 const NOT_RUN_STATUS = 503
 
+/** Outcome of a request whose connection was closed before its answer had ended, by who did so. */
+const DISCONNECT_OUTCOMES = { box: 'connection-closed', caller: 'caller-left' } as const
+
 /** Time reserved for the network round trip to the upstream. */
 const ROUND_TRIP_ALLOWANCE: Milliseconds = 8
 
@@ -80,7 +83,7 @@
       maxAttempts: admitted.route.maxAttempts,
     })
     this.#timer = clock.after(admitted.deadline - clock.now(), () => this.#handleDeadline())
-    answer.onDisconnect(() => this.finish('caller-left', undefined))
+    answer.onDisconnect(by => this.finish(DISCONNECT_OUTCOMES[by], undefined))
   }
 
   get route() {
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -179,8 +179,8 @@
   end(chunk?: Buffer | string): void
   /** Closes the connection, so that the response is seen as incomplete. */
   abort(): void
-  /** Calls back once if the caller disconnects before the end. */
-  onDisconnect(callback: () => void): void
+  /** Calls back once if the connection ends before the answer does; `by`: who closed it. */
+  onDisconnect(callback: (by: 'box' | 'caller') => void): void
 }
 
 /**
--- a/packages/gateway/test/entryServer.test.ts
+++ b/packages/gateway/test/entryServer.test.ts
@@ -56,6 +56,7 @@
         answer.start(200, ['content-length', '4'], true)
         answer.end('done')
       },
+      onDropped: () => undefined,
     })
     return (opened.server.address() as AddressInfo).port
   }
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -251,6 +251,7 @@
     clock,
     bodyBytes: () => content.limits.bodyBytes,
     handle: (request, answer) => gateway.handle(request, answer),
+    onDropped: () => undefined,
   })
   gateway.start()
   const until = async (condition: () => boolean) => {
