Close callers' connections in the turn in which a stop is decided

What callers saw: at the end of a planned stop a request was read and passed on, and its connection closed without an answer (LOST). Cause: the box closed its links to other boxes first and awaited that, without bound, while its entry went on reading and forwarding; then it destroyed all connections, or was killed at the end of its grace time with requests under way. Ruled out: an error of the process: no `defect` line; a wrong count of open requests: 0 at the decision, in the same turn. Change: the entry is closed first, in the turn of the decision, so that no request can be read in between; the links come after it. Before and after: the test's request was passed on and cut; now its connection is refused, for another box to take it. Passes on the manual clock.

--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -124,11 +124,11 @@
     async stop() {
       const startedAt = clock.now()
       await drain(gateway, entry, settings, clock)
-      const underWay = entry.openRequests
+      // In the turn of the decision: a request that is read later would be lost.
+      const unanswered = entry.close()
+      log.event('stopped', { after: Math.round(clock.now() - startedAt), unanswered })
       await gateway.stop()
       for (const server of servers) server.close()
-      const unanswered = entry.close()
-      log.event('stopped', { after: Math.round(clock.now() - startedAt), underWay, unanswered })
     },
   }
 }
--- a/packages/gateway/test/plannedStop.test.ts
+++ b/packages/gateway/test/plannedStop.test.ts
@@ -83,7 +83,10 @@
       socket.on('data', bytes => (caller.text += bytes.toString('latin1')))
       socket.on('close', () => (caller.isClosed = true))
       closing.push(() => socket.destroy())
-      await new Promise<void>(resolve => socket.once('connect', resolve))
+      await new Promise<void>((resolve, reject) => {
+        socket.once('connect', resolve)
+        socket.once('close', () => reject(new Error('refused')))
+      })
       return caller
     }
     return { clock, running, events, requestLog, upstream, open, until }
