End accepted peer connections, whatever their state, when the transport closes

Cause: `close()` ended the links that it had, then waited for all accepted connections. A connection whose upgrade came after that became a link that nobody closed, or stayed; in a rolling restart boxes that start connect to boxes that stop. Ruled out: closing idle connections only; one that has sent nothing yet does not count as idle. Change: all accepted connections are kept in a set and destroyed at the end. Conclusion: a stop ends when its own work is done.

--- a/packages/box/src/node/wsTransport.ts
+++ b/packages/box/src/node/wsTransport.ts
@@ -1,7 +1,7 @@
 import { timingSafeEqual } from 'node:crypto'
 import { createServer } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Clock, Milliseconds } from '@yewkeel/decisions'
 import { Packr } from 'msgpackr'
 import { WebSocket, WebSocketServer } from 'ws'
@@ -53,6 +53,8 @@
   #listener: PeerListener<Message> | undefined
   #server: ReturnType<typeof createServer> | undefined
   #webSocketServer: WebSocketServer | undefined
+  /** Accepted connections, also those that are not a link yet. */
+  readonly #accepted = new Set<Socket>()
   #isClosed = false
 
   constructor(private readonly options: WsTransportOptions) {}
@@ -69,6 +71,10 @@
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: this.#compression(),
     })
+    server.on('connection', (socket: Socket) => {
+      this.#accepted.add(socket)
+      socket.once('close', () => this.#accepted.delete(socket))
+    })
     server.on('upgrade', (request, socket, head) => {
       if (!this.#isSecretValid(request.headers[SECRET_HEADER])) {
         this.options.log.warn(
@@ -144,7 +150,7 @@
       this.#flush(link)
       link.socket.close()
     }
-    for (const socket of this.#webSocketServer?.clients ?? []) socket.terminate()
+    for (const socket of this.#accepted) socket.destroy()
     await new Promise(resolve => (this.#server ? this.#server.close(resolve) : resolve(undefined)))
   }
 
--- a/packages/box/test/wsTransport.test.ts
+++ b/packages/box/test/wsTransport.test.ts
@@ -1,3 +1,4 @@
+import { connect } from 'node:net'
 import { expect } from 'chai'
 import { createSystemClock } from '@yewkeel/decisions'
 import { SILENT_LOG, WsTransport, type PeerIdentity, type PeerMessage } from '@yewkeel/box'
@@ -5,14 +6,16 @@
 
 const SECRET = 'a secret of some length'
 
+const createIdentity = (box: string): PeerIdentity => ({
+  box,
+  incarnation: '1',
+  dataCentre: 'dc',
+  entryAddress: '',
+  peerAddress: '',
+})
+
 async function openTransport(box: string, secret = SECRET) {
-  const self: PeerIdentity = {
-    box,
-    incarnation: '1',
-    dataCentre: 'dc',
-    entryAddress: '',
-    peerAddress: '',
-  }
+  const self = createIdentity(box)
   const transport = new WsTransport({
     self,
     listen: '127.0.0.1:0',
@@ -52,6 +55,19 @@
     await Promise.all([a.transport.close(), b.transport.close()])
   })
 
+  it('end with the transport although a peer has connected and not yet sent its upgrade', async () => {
+    const { transport, address } = await openTransport('a')
+    const [host, port] = address.split(':')
+    const peer = connect(Number(port), host)
+    peer.on('error', () => undefined)
+    await new Promise<void>(resolve => peer.once('connect', resolve))
+    const hasEnded = new Promise<void>(resolve => peer.once('close', () => resolve()))
+    const upgrade = `GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: websocket\r\nsec-websocket-version: 13\r\nsec-websocket-key: ${Buffer.alloc(16).toString('base64')}\r\nyewkeel-peer: ${SECRET}\r\nyewkeel-identity: ${JSON.stringify(createIdentity('b'))}\r\n\r\n`
+    const closed = transport.close()
+    peer.write(upgrade)
+    await Promise.all([closed, hasEnded])
+  })
+
   it('are refused with status 401 for a wrong secret', async () => {
     const { transport, address } = await openTransport('a')
     const socket = new WebSocket(`ws://${address}`, { headers: { 'yewkeel-peer': 'wrong' } })
