Answer each request that a stopping box has passed on, also when its time is over

What callers saw: at the end of a long planned stop calls that had been read and passed on a moment before ended with a closed connection (LOST). Cause: a draining box read calls until its last moment and then destroyed all connections, forwarded requests included; it only kept out streams. Change: a draining box rejects at once (503, Retry-After) a call that may outlast it by its deadline or by four times its route's objective; at the end it answers what is still forwarded (503 if not run, else 502 or 504; a stream that has begun is aborted, with its line), and waits up to 250 ms for these answers to be sent.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -73,6 +73,8 @@
   reload(limits: GatewayLimits): void
   /** Starts draining: the box announces that it leaves and is no longer ready, but still serves. */
   startDraining(): void
+  /** Answers the requests that are still being forwarded; a stream that has begun is aborted. */
+  endRequests(): void
   stop(): Promise<void>
 }
 
@@ -372,6 +374,7 @@
       slackFrom: settings.isFirstStart ? startedAt : startedAt + settings.retries.window,
     }),
     confidenceGains: createConfidenceGains(),
+    openRequests: new Set(),
     stalls: new StallWatch(clock, reachability),
     reachability,
     suspects,
@@ -436,6 +439,9 @@
       log.event('leaving', {})
       peers.tick()
     },
+    endRequests() {
+      for (const request of services.openRequests) request.cutOff('leaving')
+    },
     async stop() {
       entries.stop()
       for (const timer of timers) timer.cancel()
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -54,6 +54,10 @@
 /** A draining box stops after this long without a request. */
 const DRAIN_QUIET_DURATION: Milliseconds = 500
 
+/** Time to send the answers of requests that were ended, within the margin before the kill. */
+const LAST_ANSWERS_TIMEOUT: Milliseconds = 250
+const LAST_ANSWERS_POLL_INTERVAL: Milliseconds = 10
+
 /** Runs a gateway on network sockets. */
 export async function runGateway(options: RunGatewayOptions): Promise<RunningGateway> {
   const { settings, clock, log } = options
@@ -124,6 +128,8 @@
     async stop() {
       const startedAt = clock.now()
       await drain(gateway, entry, settings, clock)
+      gateway.endRequests()
+      await lastAnswersSent(entry, clock)
       // In the turn of the decision: a request that is read later would be lost.
       const unanswered = entry.close()
       log.event('stopped', { after: Math.round(clock.now() - startedAt), unanswered })
@@ -159,6 +165,13 @@
   }
 }
 
+/** Waits until the last answers have been sent, for a limited time. */
+async function lastAnswersSent(entry: EntryServer, clock: Clock): Promise<void> {
+  const deadline = clock.now() + LAST_ANSWERS_TIMEOUT
+  while (entry.openRequests > 0 && clock.now() < deadline)
+    await sleep(clock, LAST_ANSWERS_POLL_INTERVAL)
+}
+
 function answerDirectory(
   options: RunGatewayOptions,
   gateway: Gateway,
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -41,8 +41,8 @@
   const isResumable = request.route.isResumable
   let model = models[0]
   let last: { head: ResponseHead; body: Buffer } | undefined
-  request.onDeadline(() => {
-    if (relay.hasStarted) abortAnswer(request, 'out of time')
+  request.onCutOff(reason => {
+    if (relay.hasStarted) abortAnswer(request, reason)
   })
   while ((await request.mayRun(relay.hasStarted)) && request.takeAttempt()) {
     const prompt = request.services.work.promptWork(request.admitted.fields, model ?? '', models)
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -82,7 +82,8 @@
       sharingBoxes: () => services.budgetBoxCount(),
       maxAttempts: admitted.route.maxAttempts,
     })
-    this.#timer = clock.after(admitted.deadline - clock.now(), () => this.#handleDeadline())
+    this.#timer = clock.after(admitted.deadline - clock.now(), () => this.cutOff('out of time'))
+    services.openRequests.add(this)
     answer.onDisconnect(by => this.finish(DISCONNECT_OUTCOMES[by], undefined))
   }
 
@@ -354,6 +355,7 @@
   finish(outcome: string, status: number | undefined): void {
     if (this.isOver) return
     this.isOver = true
+    this.services.openRequests.delete(this)
     this.#timer.cancel()
     this.#exchange?.cancel()
     this.#suspect.endTrial()
@@ -361,17 +363,18 @@
     this.#onFinish?.()
   }
 
-  #handleDeadline(): void {
+  /** Ends the request before its answer is complete, at its deadline or when the box exits. */
+  cutOff(reason: string): void {
     if (this.isOver) return
-    this.#onDeadline?.()
-    if (!this.isOver) this.fail('out of time')
+    this.#onCutOff?.(reason)
+    if (!this.isOver) this.fail(reason)
   }
 
-  #onDeadline: (() => void) | undefined
+  #onCutOff: ((reason: string) => void) | undefined
 
-  /** Calls back at the deadline, before the request fails. */
-  onDeadline(callback: () => void): void {
-    this.#onDeadline = callback
+  /** Calls back when the request is cut off, before it fails. */
+  onCutOff(callback: (reason: string) => void): void {
+    this.#onCutOff = callback
   }
 
   #writeLogLine(outcome: string, status: number | undefined): void {
--- a/packages/gateway/src/requests/handleCaller.ts
+++ b/packages/gateway/src/requests/handleCaller.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds, Route } from '@yewkeel/decisions'
 import type { CallerResponse, CallerRequest } from '../types/ports.js'
 import type { GatewayServices } from '../types/services.js'
-import { admitCaller, type Freshness, type Rejection } from './admitCaller.js'
+import { admitCaller, type AdmittedRequest, type Freshness, type Rejection } from './admitCaller.js'
 import { forwardCall } from './forwardCall.js'
 import { ForwardedRequest } from './forwardedRequest.js'
 import { forwardStream } from './forwardStream.js'
@@ -14,8 +14,13 @@
 const KEY_REVOCATION_FRACTION = 0.78
 /** Maximum age of the configuration for a 401 or 404; changes reach all boxes sooner. */
 const MAX_REFUSAL_AGE: Milliseconds = 2_500
-/** A draining box accepts streams for this long: callers refresh their addresses meanwhile. */
-const STREAM_ADMISSION_DURATION: Milliseconds = 2_600
+/**
+ * A draining box accepts requests that may outlast it for this long: callers refresh their
+ * addresses meanwhile.
+ */
+const FULL_ADMISSION_DURATION: Milliseconds = 2_600
+/** Usual duration of a call with its retries, as a multiple of the route's latency objective. */
+const CALL_DURATION_FACTOR = 4
 
 /** Retry-After of a 503; a starting box loads its configuration within this. */
 const REJECTED_RETRY_AFTER: Milliseconds = 400
@@ -40,8 +45,7 @@
   const fields = dialect.readRequest(request.headers)
   const admitted = admitCaller(request, fields, operators.index, freshnessOf(services), random)
   if ('status' in admitted) return reject(services, request, fields.id, answer, admitted)
-  // A stream accepted now might not end before the box exits.
-  if (admitted.route.kind === 'streaming' && drainingFor > STREAM_ADMISSION_DURATION)
+  if (mayOutlast(services, drainingFor, admitted))
     return reject(services, request, fields.id, answer, { status: 503, reason: 'leaving' })
   const forwarded = new ForwardedRequest(services, admitted, answer)
   FORWARDERS[admitted.route.kind](forwarded).catch((error: unknown) => {
@@ -50,6 +54,18 @@
   })
 }
 
+/** Whether the request might not end before a draining box exits. */
+function mayOutlast(
+  { clock, settings }: GatewayServices,
+  drainingFor: Milliseconds,
+  { route, deadline }: AdmittedRequest,
+): boolean {
+  if (drainingFor <= FULL_ADMISSION_DURATION) return false
+  if (route.kind === 'streaming') return true
+  const callDuration = CALL_DURATION_FACTOR * route.latencyObjective
+  return drainingFor + Math.min(callDuration, deadline - clock.now()) > settings.stopWithin
+}
+
 function freshnessOf({ settings, operators }: GatewayServices): Freshness {
   const { keyRevocation } = settings
   return {
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -12,6 +12,12 @@
 import type { Dialect, EventLog, GatewayMetrics } from './ports.js'
 import type { GatewaySettings } from './settings.js'
 
+/** A request that is being forwarded. */
+export interface OpenRequest {
+  /** Ends it before its answer is complete, for the given reason. */
+  cutOff(reason: string): void
+}
+
 /** The services that request handling depends on. */
 export interface GatewayServices {
   settings: GatewaySettings
@@ -30,6 +36,8 @@
    * Estimated gain in confidence from model to model, from requests that several models answered.
    */
   confidenceGains: ConfidenceGains
+  /** Requests that are being forwarded. */
+  openRequests: Set<OpenRequest>
   stalls: StallWatch
   reachability: ReachabilityWatch
   /** Requests that were in flight when an upstream crashed. */
