Failing test: closing idle connections cuts an answer that is not sent yet

What callers saw: an answer ends in the middle while a box stops. Cause: see the test; Node's closeIdleConnections spares a connection until `end()` was called, not until the answer has left the process. Conclusion: red.

--- a/packages/gateway/test/plannedStop.test.ts
+++ b/packages/gateway/test/plannedStop.test.ts
@@ -15,6 +15,8 @@
 const ANY_PORT = '127.0.0.1:0'
 const STEP_DURATION = 5
 const MAX_STEPS = 4_000
+/** Larger than the buffers of a loopback connection. */
+const LARGE_BODY_BYTES = 16 * 1024 * 1024
 
 /** A raw connection of a caller, with what it has received. */
 interface TestCaller {
@@ -38,6 +40,15 @@
 const createRequest = (id: string): string =>
   `GET /desk/1 HTTP/1.1\r\nhost: 127.0.0.1\r\nid: ${id}\r\ntime-left: 2000\r\n\r\n`
 
+/** Answers with the request's id and the given body. */
+const answersWith =
+  (body: string | Buffer): UpstreamHandler =>
+  (request, response) => {
+    const { id } = request.headers
+    response.writeHead(200, { id: String(id), signed: '1', 'content-length': body.length })
+    response.end(body)
+  }
+
 describe('a planned stop', () => {
   const closing: (() => void)[] = []
   afterEach(() => closing.splice(0).forEach(close => close()))
@@ -130,4 +141,17 @@
     const passedOn = upstream.requests.map(({ headers }) => Number(String(headers.id).slice(1)))
     expect(passedOn.filter(id => !callers[id]!.text.startsWith('HTTP/1.1'))).to.eql([])
   })
+
+  it('closes no connection whose answer has not been sent whole', async () => {
+    const { clock, running, open, until } = await start(answersWith(Buffer.alloc(LARGE_BODY_BYTES)))
+    const caller = await open()
+    caller.socket.pause()
+    caller.socket.write(createRequest('slow'))
+    await clock.advance(400)
+    void running.stop()
+    await clock.advance(2_000)
+    caller.socket.resume()
+    await until(() => caller.isClosed)
+    expect(caller.text.length).to.be.above(LARGE_BODY_BYTES)
+  })
 })
