Close a connection as idle only when its answer has been sent whole

What callers saw: an answer ends in the middle, with a reset, 1.5 s or later after a box began to stop (LOST). Cause: Node's closeIdleConnections spares a connection until `end()` is called on its answer; what waits for a slow link or caller is dropped. Ruled out: the end of the stop itself: it waits for answers until they are sent. Change: connections and their open requests are tracked (CallerConnections); idle is one that rests after an answer that was sent whole, and on which no byte of a next request has arrived.

--- a/packages/gateway/src/node/entryServer.ts
+++ b/packages/gateway/src/node/entryServer.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server as ConnectionServer, Socket } from 'node:net'
 import { sleep, type Clock, type Milliseconds } from '@yewkeel/decisions'
 import type { CallerResponse, CallerRequest, RawHeaders } from '../types/ports.js'
+import { CallerConnections } from './callerConnections.js'
 import { listenOn } from './listenOn.js'
 
 /**
@@ -59,10 +60,9 @@
 export async function startEntryServer(options: EntryServerOptions): Promise<EntryServer> {
   let isDraining = false
   let isClosed = false
-  let openRequests = 0
+  const connections = new CallerConnections()
   const server = createServer({ requireHostHeader: false }, (message, response) => {
-    openRequests++
-    response.once('close', () => openRequests--)
+    connections.begin(response)
     if (isDraining) response.shouldKeepAlive = false
     void serve(message, response, options, {
       isDraining: () => isDraining,
@@ -83,17 +83,17 @@
   return {
     address: `${address.address}:${address.port}`,
     get openRequests() {
-      return openRequests
+      return connections.openRequests
     },
     setTimeouts(header, idle) {
       server.headersTimeout = Math.max(header, DEFAULT_HEADER_TIMEOUT)
       server.keepAliveTimeout = idle + IDLE_TIMEOUT_MARGIN
     },
     beginDrain: () => void (isDraining = true),
-    closeIdle: () => server.closeIdleConnections(),
+    closeIdle: () => connections.closeIdle(),
     close() {
       isClosed = true
-      const unanswered = openRequests
+      const unanswered = connections.openRequests
       server.close()
       server.closeAllConnections()
       return unanswered
