State the epoch of each answer of the store

Ruled out: a number made of epoch and revision (see the order of revisions); one epoch beside each comparison. Feeds and conditional writes take a point of the history.

--- a/packages/decisions/src/listing/upstreamList.ts
+++ b/packages/decisions/src/listing/upstreamList.ts
@@ -1,7 +1,8 @@
+import { isLaterRevision, type StoreRevision } from '../freshness/storeRevision.js'
 import type { Milliseconds } from '../types/clock.js'
 
 /** An upstream's entry in the platform's service registry. */
-export interface ListedUpstream {
+export interface ListedUpstream extends StoreRevision {
   /** Unique name. A later run may reuse the name, and another upstream the address. */
   id: string
   /**
@@ -150,5 +151,5 @@
   const startedAt = entry.startedAt ?? -Infinity
   const otherStartedAt = other.startedAt ?? -Infinity
   if (startedAt !== otherStartedAt) return startedAt > otherStartedAt
-  return entry.revision > other.revision
+  return isLaterRevision(entry, other)
 }
--- a/packages/decisions/src/rollouts/rollout.ts
+++ b/packages/decisions/src/rollouts/rollout.ts
@@ -1,7 +1,8 @@
+import type { StoreRevision } from '../freshness/storeRevision.js'
 import type { Milliseconds } from '../types/clock.js'
 
 /** An operator's order to roll out a version: to move a service's traffic to it. */
-export interface RolloutOrder {
+export interface RolloutOrder extends StoreRevision {
   service: string
   target: string
   /** Time in which the rollout is to be completed. */
@@ -13,7 +14,7 @@
 export type RolloutState = 'active' | 'completed' | 'rolled-back'
 
 /** Progress of a rollout, as stored and read by all boxes. */
-export interface RolloutStatus {
+export interface RolloutStatus extends StoreRevision {
   service: string
   target: string
   state: RolloutState
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -358,7 +358,7 @@
     try {
       const rejected = rejectedVersions(status, order)
       const next = { service, target, state, startedAt, rejected }
-      const outcome = await store.writeRollout(next, status?.revision ?? 0)
+      const outcome = await store.writeRollout(next, status ?? { revision: 0 })
       log.event('rollout-written', { ...next, outcome })
       this.mergeStatuses((await store.readRollouts()).value)
     } catch (error) {
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -150,9 +150,8 @@
     const sentAt = clock.now()
     this.#lastCallAt = sentAt
     if (!isFirst) {
-      const { revision } = operators.state
       const wait = isReader() ? Math.round(LONG_POLL_SHARE * newsWithin()) : 0
-      const news = await store.awaitOperatorState(revision, wait)
+      const news = await store.awaitOperatorState(operators.state, wait)
       this.#recordAnswer(news.storeNow)
       if (!news.value) {
         operators.recordConfirmation(news.version, sentAt)
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -4,19 +4,20 @@
   Milliseconds,
   RolloutOrder,
   RolloutStatus,
+  StoreRevision,
 } from '@yewkeel/decisions'
 import type { QuarantineEntry } from '@yewkeel/box'
 
 export type { QuarantineEntry }
 
 /** Everything that operators have written to the store. */
-export interface OperatorState {
+export interface OperatorState extends StoreRevision {
   /**
    * Revision of the store as a whole at the read. The highest row revision would decrease when a
    * row is deleted, and the state would be ignored as outdated.
    */
   revision: number
-  /** Equal for states with equal content. */
+  /** Equal for states with equal content, of one epoch. */
   fingerprint: number
   configuration?: Configuration
   orders: readonly RolloutOrder[]
@@ -29,6 +30,8 @@
   value: T
   /** Revision of the store as a whole at the read. */
   version: number
+  /** Epoch of `version`; undefined is 0. */
+  epoch?: number
   storeNow: Milliseconds
 }
 
@@ -51,18 +54,20 @@
 export interface Store {
   readOperatorState(): Promise<StoreRead<OperatorState>>
   /**
-   * Waits up to `wait` for a change of the operator state after `revision`. Resolves to true on a
-   * change; otherwise the state is unchanged up to the `version` of the result.
+   * Waits up to `wait` for a change of the operator state after `since`. Resolves to true on a
+   * change, and in another epoch; otherwise the state is unchanged up to the `version` of the
+   * result.
    */
-  awaitOperatorState(revision: number, wait: Milliseconds): Promise<StoreRead<boolean>>
+  awaitOperatorState(since: StoreRevision, wait: Milliseconds): Promise<StoreRead<boolean>>
   readUpstreams(): Promise<StoreRead<readonly ListedUpstream[]>>
   readRollouts(): Promise<StoreRead<readonly RolloutStatus[]>>
   /**
-   * Compare-and-swap: writes if the service's status is at `expectedRevision`, 0 if there is none.
+   * Compare-and-swap: writes if the service's status is at `expected`; revision 0, of any epoch, if
+   * there is none.
    */
   writeRollout(
-    status: Omit<RolloutStatus, 'revision'>,
-    expectedRevision: number,
+    status: Omit<RolloutStatus, keyof StoreRevision>,
+    expected: StoreRevision,
   ): Promise<WriteOutcome>
   readBoxes(): Promise<readonly BoxEntry[]>
   writeBox(entry: BoxEntry): Promise<void>
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -1,10 +1,12 @@
 import {
   createSeededRandom,
+  isLaterRevision,
   ManualClock,
   type Configuration,
   type ListedUpstream,
   type Milliseconds,
   type RolloutStatus,
+  type StoreRevision,
 } from '@yewkeel/decisions'
 import type { QuarantineEntry, PeerIdentity, PeerListener, PeerTransport } from '@yewkeel/box'
 import {
@@ -138,8 +140,8 @@
       call(() => ({ value: value(), version: store.version, storeNow: clock.now() }))
     return {
       readOperatorState: () => read(() => store.operators),
-      async awaitOperatorState(revision, wait) {
-        const answer = await read(() => store.operators.revision > revision)
+      async awaitOperatorState(since, wait) {
+        const answer = await read(() => isLaterRevision(store.operators, since))
         if (!answer.value) await sleep(wait)
         return answer
       },
@@ -156,9 +158,12 @@
     }
   }
 
-  function writeRollout(status: Omit<RolloutStatus, 'revision'>, expected: number): WriteOutcome {
+  function writeRollout(
+    status: Omit<RolloutStatus, keyof StoreRevision>,
+    expected: StoreRevision,
+  ): WriteOutcome {
     const current = store.rollouts.find(({ service }) => service === status.service)
-    if ((current?.revision ?? 0) !== expected) return 'conflict'
+    if ((current?.revision ?? 0) !== expected.revision) return 'conflict'
     const others = store.rollouts.filter(({ service }) => service !== status.service)
     store.rollouts = [...others, { ...status, revision: ++store.version }]
     return 'written'
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -202,7 +202,7 @@
   const store: Store = {
     readOperatorState: () => read(state.operators),
     // Waits on the manual clock like a long poll, so that the reader does not spin.
-    awaitOperatorState: (revision, wait) =>
+    awaitOperatorState: ({ revision }, wait) =>
       new Promise(resolve => clock.after(wait, () => resolve(undefined))).then(() =>
         read(state.operators.revision > revision),
       ),
