Order the operator state by epoch, and the configuration by its own version

Cause: a state was older if its revision was lower; so the restored state was refused, by reads and by gossip, and confirmations at a revision from before the restore went on proving the old one. Ruled out: forgetting the state when an epoch begins: the configuration would go back within a box's run, and all would reject meanwhile. Dropping the proof when only the epoch is known: it is still true of the state that is held. Change: states and proofs are compared by the order of points; a proof counts only for a state of its own epoch, and is begun anew with it. Of two configurations the higher version is kept, of the same version that of the later state; the rest is taken from the later state, and the read still confirms it. A box that proves its state names the version of its configuration, so that a box that started on the store's older one asks for it. A state that is sent carries the age of its proof, as the list of upstreams does: the receiver need not wait for the next round. Boxes of an earlier build state no epoch: once there was a restore they neither confirm nor overrule. A refused state, and a kept configuration, leave a line.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -230,13 +230,7 @@
         isStoreLost: reader.isStoreOut,
         answers: rollouts.answers,
       },
-      ...(operators.state.revision > 0 && {
-        operators: {
-          revision: operators.state.revision,
-          fingerprint: operators.state.fingerprint,
-          age: operators.age,
-        },
-      }),
+      ...(operators.state.revision > 0 && { operators: operators.proof }),
       ...(upstreams.list.version > 0 && {
         upstreams: {
           revision: upstreams.list.version,
@@ -248,12 +242,7 @@
       verdicts: rollouts.verdicts,
       ...(rollouts.storeNow !== undefined && { storeNow: rollouts.storeNow }),
     }),
-    onOperatorsProved({ revision, fingerprint }, provedAt) {
-      if (fingerprint !== operators.state.fingerprint)
-        return revision > operators.state.revision ? 'wanted' : 'known'
-      operators.recordConfirmation(revision, provedAt)
-      return 'known'
-    },
+    onOperatorsProved: (proof, provedAt) => operators.applyProof(proof, provedAt),
     onUpstreamsProved({ revision, fingerprint }, provedAt) {
       if (fingerprint !== upstreams.list.fingerprint)
         return revision > upstreams.list.version ? 'wanted' : 'known'
@@ -261,10 +250,11 @@
       reader.confirmList(provedAt)
       return 'known'
     },
-    onOperators(next) {
-      const before = operators.state.fingerprint
-      operators.apply(next)
-      if (operators.state.fingerprint !== before) announce()
+    onOperators(next, provedAt) {
+      const { fingerprint, configuration } = operators.state
+      operators.apply(next, provedAt)
+      const { state: current } = operators
+      if (current.fingerprint !== fingerprint || current.configuration !== configuration) announce()
     },
     onUpstreams(entries, version, provedAt) {
       if (provedAt !== undefined) reader.confirmList(provedAt)
@@ -278,7 +268,7 @@
     onWorkRole: () => work.changeRole(),
     currentWork: () => work.all(),
     onStoreClock: (storeNow, at) => rollouts.updateStoreClock(storeNow, at),
-    currentOperators: () => operators.state,
+    currentOperators,
     currentUpstreams,
     onSuspects(entries, isComplete) {
       quarantine.isComplete ||= isComplete
@@ -289,6 +279,11 @@
     currentSuspects: () => ({ entries: suspects.updates(), isComplete: quarantine.isComplete }),
   })
 
+  function currentOperators() {
+    const { state: current, age } = operators
+    return { state: current, ...(Number.isFinite(age) && { age }) }
+  }
+
   function currentUpstreams() {
     const { version, listed } = upstreams.list
     const age = reader.listAge
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -18,6 +18,8 @@
   Gossip,
   OwnReport,
   FreshnessProof,
+  OperatorProof,
+  OperatorsMessage,
   Advertisement,
   UpstreamsMessage,
 } from '../types/gossip.js'
@@ -50,9 +52,10 @@
    * A neighbour confirmed that this was the newest state in the store at `provedAt`, on this box's
    * clock.
    */
-  onOperatorsProved(proof: FreshnessProof, provedAt: Milliseconds): ProofAnswer
+  onOperatorsProved(proof: OperatorProof, provedAt: Milliseconds): ProofAnswer
   onUpstreamsProved(proof: FreshnessProof, provedAt: Milliseconds): ProofAnswer
-  onOperators(state: OperatorState): void
+  /** `provedAt` is undefined if the sender does not know the age of its state. */
+  onOperators(state: OperatorState, provedAt: Milliseconds | undefined): void
   /** `provedAt` is undefined if the sender does not know the age of its list. */
   onUpstreams(entries: ListedUpstream[], version: number, provedAt: Milliseconds | undefined): void
   /** Receives runs of upstreams that have ended. Returns those that this box did not know. */
@@ -66,7 +69,7 @@
   /** All work entries that this box sends in its current role. */
   currentWork(): WorkEntry[]
   onStoreClock(storeNow: Milliseconds, at: Milliseconds): void
-  currentOperators(): OperatorState
+  currentOperators(): Omit<OperatorsMessage, 'stamp' | 'type'>
   currentUpstreams(): Omit<UpstreamsMessage, 'stamp' | 'type'>
   /**
    * Returns the entries that were new to this box. `isComplete`: the entries include everything
@@ -139,9 +142,12 @@
     boxes: (_from, message) => {
       for (const entry of message.entries) this.#known.addEntry(entry)
     },
-    'operators-wanted': from =>
-      this.#reply(from, { type: 'operators', state: this.options.currentOperators() }),
-    operators: (_from, message) => this.options.onOperators(message.state),
+    'operators-wanted': (from, { stamp }) =>
+      this.#reply(from, { type: 'operators', stamp, ...this.options.currentOperators() }),
+    operators: (_from, { state, stamp, age }) => {
+      const isProved = stamp !== undefined && age !== undefined
+      this.options.onOperators(state, isProved ? stamp - age : undefined)
+    },
     'upstreams-wanted': (from, { stamp }) =>
       this.#reply(from, { type: 'upstreams', stamp, ...this.options.currentUpstreams() }),
     'upstreams-gone': (_from, { runs }) => {
@@ -432,7 +438,7 @@
     const provedAt = ({ age }: FreshnessProof) =>
       earliestProofAt({ echo: echo.stamp, heldFor: echo.heldFor, age })
     if (operators && onOperatorsProved(operators, provedAt(operators)) === 'wanted')
-      this.#request(from, { type: 'operators-wanted' })
+      this.#request(from, { type: 'operators-wanted', stamp: this.options.clock.now() })
     if (upstreams && onUpstreamsProved(upstreams, provedAt(upstreams)) === 'wanted')
       this.#request(from, { type: 'upstreams-wanted', stamp: this.options.clock.now() })
   }
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -154,7 +154,7 @@
       const news = await store.awaitOperatorState(operators.state, wait)
       this.#recordAnswer(news.storeNow)
       if (!news.value) {
-        operators.recordConfirmation(news.version, sentAt)
+        operators.recordConfirmation({ epoch: news.epoch, revision: news.version }, sentAt)
         // Sent at once, a confirmation reaches distant boxes before they read for themselves.
         if (isReader()) this.options.onOperatorsRead()
         return isReader() ? 0 : CHECK_INTERVAL
@@ -163,8 +163,7 @@
     const readAt = clock.now()
     const read = await store.readOperatorState()
     this.#recordAnswer(read.storeNow)
-    const isNewest = operators.apply(read.value)
-    if (isNewest) operators.recordConfirmation(read.value.revision, readAt)
+    const isNewest = operators.apply(read.value, readAt)
     this.options.onOperatorsRead()
     if (read.value.orders.length > 0) rollouts.mergeStatuses((await store.readRollouts()).value)
     if (isFirst && !operators.index) return READER_RETRY_DELAY
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -4,6 +4,7 @@
   Milliseconds,
   RolloutStatus,
   SharedLimit,
+  StoreRevision,
   WorkEntry,
 } from '@yewkeel/decisions'
 import type { Verdict } from '../tasks/rolloutTask.js'
@@ -30,7 +31,7 @@
  * Confirms that content read from the store was the newest there. The revision changes with every
  * write to the store, the fingerprint only with the content.
  */
-export interface FreshnessProof {
+export interface FreshnessProof extends StoreRevision {
   /** Revision of the store as a whole. */
   revision: number
   /** Equal for equal content. */
@@ -39,6 +40,15 @@
   age: Milliseconds
 }
 
+/** A proof of the operator state. */
+export interface OperatorProof extends FreshnessProof {
+  /**
+   * Version of the configuration that the sender holds; undefined if it has none. A restored store
+   * may hold an older one.
+   */
+  configuration?: number
+}
+
 /** The message that a box sends its neighbours in each round of gossip. */
 export interface Gossip {
   type: 'gossip'
@@ -49,7 +59,7 @@
   own: OwnReport
   /** Packed reports about other boxes. Every other round carries changes only; empty in a mesh. */
   others: Uint8Array
-  operators?: FreshnessProof
+  operators?: OperatorProof
   upstreams?: FreshnessProof
   rollouts: RolloutStatus[]
   /** Versions that boxes have judged to be bad. */
@@ -78,8 +88,9 @@
   | { type: 'work-sums'; entries: WorkEntry[] }
   | { type: 'boxes-wanted' }
   | { type: 'boxes'; entries: BoxEntry[] }
-  | { type: 'operators-wanted' }
-  | { type: 'operators'; state: OperatorState }
+  /** Older boxes send no `stamp`. */
+  | { type: 'operators-wanted'; stamp?: Milliseconds }
+  | OperatorsMessage
   | { type: 'upstreams-wanted'; stamp: Milliseconds }
   /** Runs of upstreams that have ended: other processes now respond at their addresses. */
   | { type: 'upstreams-gone'; runs: string[] }
@@ -94,6 +105,16 @@
    */
   | { type: 'suspects'; entries: SuspectUpdate[]; isComplete?: boolean }
 
+/** The operator state; the reply to `operators-wanted`. */
+export interface OperatorsMessage {
+  type: 'operators'
+  state: OperatorState
+  /** Stamp of the request, on the requester's clock. */
+  stamp?: Milliseconds
+  /** Time since the state was confirmed to be the newest in the store; absent if it never was. */
+  age?: Milliseconds
+}
+
 /** The list of upstreams; the reply to `upstreams-wanted`. */
 export interface UpstreamsMessage {
   type: 'upstreams'
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -43,6 +43,8 @@
     operators: OperatorState
     upstreams: ListedUpstream[]
     version: number
+    /** Number of restores so far. */
+    epoch: number
     entries: Map<string, BoxEntry>
     condemned: Map<string, QuarantineEntry>
     rollouts: RolloutStatus[]
@@ -117,6 +119,7 @@
     },
     upstreams: [],
     version: 5,
+    epoch: 0,
     entries: new Map(),
     condemned: new Map(),
     rollouts: [],
@@ -137,7 +140,12 @@
     }
     if (createStore) return createStore(call, clock)
     const read = <T>(value: () => T) =>
-      call(() => ({ value: value(), version: store.version, storeNow: clock.now() }))
+      call(() => ({
+        value: value(),
+        version: store.version,
+        epoch: store.epoch,
+        storeNow: clock.now(),
+      }))
     return {
       readOperatorState: () => read(() => store.operators),
       async awaitOperatorState(since, wait) {
