Order the list of upstreams by epoch, and prove only a list that was accepted

Cause: after a restore the list that is read has a lower version and was ignored; yet it had been taken as proof before, by reads and by gossip, so that the list from before the restore passed for the newest. Taking the restored list as it is: it lacks upstreams that started since the copy, until they write again. Change: lists and their proofs are compared by the order of points. A list is accepted first, then it ends an outage and proves, then it is applied; reads and gossip share that path. Proofs begin anew with an epoch. Entries that the restored list lacks are kept as after an outage: ready ones, for the grace period. A refused list leaves a line; lines of the list name the epoch.

--- a/packages/decisions/src/listing/upstreamList.ts
+++ b/packages/decisions/src/listing/upstreamList.ts
@@ -38,12 +38,13 @@
   missing: Map<string, Milliseconds>
   /** The store has not answered since the last list. */
   isStoreOut: boolean
-  /** When the store answered again after its last outage. */
+  /** When the store answered again after its last outage, or was known to be restored. */
   returnedAt?: Milliseconds
 }
 
 /**
- * Live upstreams renew their entries within two seconds after an outage; plus the store's own lag.
+ * Live upstreams renew their entries within two seconds after an outage or a restore; plus the
+ * store's own lag.
  */
 export const RETURN_GRACE: Milliseconds = 2_200
 
@@ -65,9 +66,17 @@
   state.returnedAt = now
 }
 
+/**
+ * Records that the store was restored from a copy; starts the grace period for entries that the copy
+ * lacks.
+ */
+export function recordListRestore(state: UpstreamListState, now: Milliseconds): void {
+  state.returnedAt = now
+}
+
 /**
  * Applies a full list. Missing entries are removed, except ready ones during the grace period after
- * a store outage. Entries whose address a later process claims are removed too, since a crashed
+ * a store outage or restore. Entries whose address a later process claims are removed too, since a crashed
  * upstream stays listed for three heartbeats. Returns the ids of runs that ended; a later run may
  * use the same id.
  */
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -233,7 +233,7 @@
       ...(operators.state.revision > 0 && { operators: operators.proof }),
       ...(upstreams.list.version > 0 && {
         upstreams: {
-          revision: upstreams.list.version,
+          ...upstreams.list.point,
           fingerprint: upstreams.list.fingerprint,
           age: reader.listAge,
         },
@@ -243,22 +243,15 @@
       ...(rollouts.storeNow !== undefined && { storeNow: rollouts.storeNow }),
     }),
     onOperatorsProved: (proof, provedAt) => operators.applyProof(proof, provedAt),
-    onUpstreamsProved({ revision, fingerprint }, provedAt) {
-      if (fingerprint !== upstreams.list.fingerprint)
-        return revision > upstreams.list.version ? 'wanted' : 'known'
-      upstreams.list.confirmVersion(revision)
-      reader.confirmList(provedAt)
-      return 'known'
-    },
+    onUpstreamsProved: (proof, provedAt) => reader.applyListProof(proof, provedAt),
     onOperators(next, provedAt) {
       const { fingerprint, configuration } = operators.state
       operators.apply(next, provedAt)
       const { state: current } = operators
       if (current.fingerprint !== fingerprint || current.configuration !== configuration) announce()
     },
-    onUpstreams(entries, version, provedAt) {
-      if (provedAt !== undefined) reader.confirmList(provedAt)
-      if (upstreams.list.apply(entries, version)) announce()
+    onUpstreams(listed, point, provedAt) {
+      if (reader.takeList(listed, point, provedAt)) announce()
     },
     onUpstreamsGone: runs => runs.filter(run => upstreams.markReplaced(run)),
     onRollouts: statuses => rollouts.mergeStatuses(statuses),
@@ -285,9 +278,14 @@
   }
 
   function currentUpstreams() {
-    const { version, listed } = upstreams.list
+    const { point, listed } = upstreams.list
     const age = reader.listAge
-    return { version, entries: listed, ...(Number.isFinite(age) && { age }) }
+    return {
+      version: point.revision,
+      epoch: point.epoch,
+      entries: listed,
+      ...(Number.isFinite(age) && { age }),
+    }
   }
 
   /** Switches to serving once the configuration and the list of upstreams are known. */
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -9,6 +9,7 @@
   type ListedUpstream,
   type Milliseconds,
   type RolloutStatus,
+  type StoreRevision,
   type WorkEntry,
   type WorkRole,
 } from '@yewkeel/decisions'
@@ -57,7 +58,11 @@
   /** `provedAt` is undefined if the sender does not know the age of its state. */
   onOperators(state: OperatorState, provedAt: Milliseconds | undefined): void
   /** `provedAt` is undefined if the sender does not know the age of its list. */
-  onUpstreams(entries: ListedUpstream[], version: number, provedAt: Milliseconds | undefined): void
+  onUpstreams(
+    entries: ListedUpstream[],
+    point: StoreRevision,
+    provedAt: Milliseconds | undefined,
+  ): void
   /** Receives runs of upstreams that have ended. Returns those that this box did not know. */
   onUpstreamsGone(runs: readonly string[]): string[]
   onRollouts(statuses: RolloutStatus[]): void
@@ -155,8 +160,10 @@
       // In a mesh the box that detected the end has already sent it to all.
       if (!this.isFullMesh) this.announceEndedRuns(added)
     },
-    upstreams: (_from, { entries, version, stamp, age }) =>
-      this.options.onUpstreams(entries, version, age === undefined ? undefined : stamp - age),
+    upstreams: (_from, { entries, version, epoch, stamp, age }) => {
+      const provedAt = age === undefined ? undefined : stamp - age
+      this.options.onUpstreams(entries, { epoch, revision: version }, provedAt)
+    },
     'statements-wanted': from => {
       const entries = this.options.currentAdvertisements()
       if (entries.length > 0) this.#reply(from, { type: 'statements', entries })
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -1,8 +1,16 @@
-import type { Clock, Confirmation, Milliseconds } from '@yewkeel/decisions'
-import { confirm, confirmationAge, sleep } from '@yewkeel/decisions'
+import type {
+  Clock,
+  Confirmation,
+  ListedUpstream,
+  Milliseconds,
+  StoreRevision,
+} from '@yewkeel/decisions'
+import { confirm, confirmationAge, epochOf, isLaterRevision, sleep } from '@yewkeel/decisions'
 import { CONNECT_TIMEOUT } from '../node/connectTimeout.js'
+import type { FreshnessProof } from '../types/gossip.js'
 import type { EventLog, GatewayMetrics, Store } from '../types/ports.js'
 import type { OperatorTask } from './operatorTask.js'
+import type { ProofAnswer } from './peerTask.js'
 import type { RolloutTask } from './rolloutTask.js'
 import type { UpstreamListTask } from './upstreamListTask.js'
 
@@ -70,11 +78,13 @@
 
 /** Keeps this box's copy of operator state and upstream list fresh with few store calls. */
 export class StoreReader {
-  readonly #listConfirmation: Confirmation = {}
+  /** Proofs of the list's epoch. */
+  #listConfirmation: Confirmation = {}
   #isStopped = false
   #isStoreOut = false
   #startupRetryDelay = READER_RETRY_DELAY
   #lastCallAt = -Infinity
+  #isRefusingList = false
 
   constructor(private readonly options: StoreReaderOptions) {}
 
@@ -86,12 +96,58 @@
     return confirmationAge(this.#listConfirmation, this.options.clock.now())
   }
 
+  /**
+   * Takes a list, which was the newest in the store at `provedAt` if that is known, unless it is
+   * older than the current one. Returns whether its content differs from the current one.
+   */
+  takeList(
+    listed: readonly ListedUpstream[],
+    point: StoreRevision,
+    provedAt?: Milliseconds,
+  ): boolean {
+    const { upstreams } = this.options
+    const isAccepted = upstreams.accepts(point)
+    if (!isAccepted && !this.#isRefusingList) this.#logRefusal(point)
+    this.#isRefusingList = !isAccepted
+    if (!isAccepted) return false
+    this.#enterEpoch(point)
+    // The end of an outage is to be known before entries are missed.
+    if (provedAt !== undefined) this.confirmList(provedAt)
+    return upstreams.apply(listed, point)
+  }
+
+  /**
+   * Applies another box's proof that its list was the newest in the store at `provedAt`. Returns
+   * whether that list is to be requested.
+   */
+  applyListProof(proof: FreshnessProof, provedAt: Milliseconds): ProofAnswer {
+    const { upstreams } = this.options
+    const isLater = isLaterRevision(proof, upstreams.point)
+    if (proof.fingerprint !== upstreams.fingerprint) return isLater ? 'wanted' : 'known'
+    // Another epoch's list is equal by chance.
+    if (epochOf(proof) < epochOf(upstreams.point)) return 'known'
+    this.#enterEpoch(proof)
+    upstreams.confirmPoint(proof)
+    this.confirmList(provedAt)
+    return 'known'
+  }
+
   /** Confirms that the list that this box holds, or takes next, was current at `provedAt`. */
   confirmList(provedAt: Milliseconds): void {
     confirm(this.#listConfirmation, provedAt)
     if (!this.#isListStale) this.options.upstreams.recordRecovery()
   }
 
+  /** Proofs of an earlier epoch do not confirm a list of this one. */
+  #enterEpoch(point: StoreRevision): void {
+    if (epochOf(point) > epochOf(this.options.upstreams.point)) this.#listConfirmation = {}
+  }
+
+  #logRefusal({ epoch, revision }: StoreRevision): void {
+    const { log, upstreams } = this.options
+    log.event('list-refused', { epoch, revision, held: upstreams.point })
+  }
+
   /** Whether no box can have read the list recently. False before the first confirmation. */
   get #isListStale(): boolean {
     if (!Number.isFinite(this.listAge)) return false
@@ -179,8 +235,8 @@
     try {
       const read = await store.readUpstreams()
       this.#recordAnswer(read.storeNow)
-      this.confirmList(sentAt)
-      const isChanged = upstreams.apply(read.value, read.version)
+      const point = { epoch: read.epoch, revision: read.version }
+      const isChanged = this.takeList(read.value, point, sentAt)
       if (isChanged) this.options.onUpstreamsRead()
     } catch (error) {
       this.#recordListOutage()
--- a/packages/gateway/src/tasks/upstreamListTask.ts
+++ b/packages/gateway/src/tasks/upstreamListTask.ts
@@ -1,15 +1,19 @@
 import {
   createUpstreamListState,
   dropMissing,
+  epochOf,
   hashText,
+  isLaterRevision,
   recordListOutage,
   recordListRecovery,
+  recordListRestore,
   returnGraceEnd,
   runIdOf,
   applyUpstreamList,
   type Clock,
   type ListedUpstream,
   type Milliseconds,
+  type StoreRevision,
   type Timer,
 } from '@yewkeel/decisions'
 import type { EventLog } from '../types/ports.js'
@@ -35,13 +39,13 @@
 const NO_FINGERPRINT = -1
 
 /**
- * Holds the platform's list of upstreams and its version, and keeps lapsed entries for a grace
- * period after a store outage.
+ * Holds the platform's list of upstreams and its point in the history of the store, and keeps lapsed
+ * entries for a grace period after a store outage or restore.
  */
 export class UpstreamListTask {
   readonly #state = createUpstreamListState()
   #fingerprint = NO_FINGERPRINT
-  #version = 0
+  #point: StoreRevision = { revision: 0 }
   #listed: readonly ListedUpstream[] = []
   #graceTimer: Timer | undefined
 
@@ -54,7 +58,12 @@
 
   /** The store's version at the last read or confirmation of the list; 0 before the first. */
   get version(): number {
-    return this.#version
+    return this.#point.revision
+  }
+
+  /** The store's epoch and version at the last read or confirmation of the list. */
+  get point(): StoreRevision {
+    return this.#point
   }
 
   /** The list as read from the store, without entries in their grace period. */
@@ -62,9 +71,14 @@
     return [...this.#listed]
   }
 
-  /** Confirms the list at a later version of the store. */
-  confirmVersion(version: number): void {
-    this.#version = Math.max(this.#version, version)
+  /** Confirms the list at a later point. */
+  confirmPoint(point: StoreRevision): void {
+    if (isLaterRevision(point, this.#point)) this.#advance(point)
+  }
+
+  /** Whether a list of this point is not older than the current one. */
+  accepts(point: StoreRevision): boolean {
+    return !isLaterRevision(this.#point, point)
   }
 
   /** Records a store outage: no box can have read the list for `age`. */
@@ -75,19 +89,19 @@
 
   /** Records that the list was confirmed, which ends an outage. */
   recordRecovery(): void {
-    if (this.#state.isStoreOut) this.options.log.event('list-back', { version: this.#version })
+    if (this.#state.isStoreOut)
+      this.options.log.event('list-back', { version: this.version, epoch: this.#point.epoch })
     recordListRecovery(this.#state, this.options.clock.now())
     this.#scheduleGraceEnd()
   }
 
   /**
-   * Replaces the list unless `version` is older. Returns whether its content differs from the last
-   * one.
+   * Replaces the list unless `point` is older. Returns whether its content differs from the last one.
    */
-  apply(listed: readonly ListedUpstream[], version: number): boolean {
-    if (version < this.#version) return false
-    const isFirst = this.#version === 0
-    this.#version = version
+  apply(listed: readonly ListedUpstream[], point: StoreRevision): boolean {
+    if (!this.accepts(point)) return false
+    const isFirst = this.version === 0
+    this.#advance(point)
     this.#listed = listed
     if (isFirst) this.#logFirstList()
     this.#applyList(isFirst)
@@ -98,7 +112,14 @@
 
   /** Applies the list again after a change of the configured services. */
   reapply(): void {
-    if (this.#version > 0) this.#applyList(false)
+    if (this.version > 0) this.#applyList(false)
+  }
+
+  /** A restored store lacks the entries of upstreams that started since the copy was made. */
+  #advance({ epoch, revision }: StoreRevision): void {
+    const isRestored = this.version > 0 && epochOf({ epoch }) > epochOf(this.#point)
+    if (isRestored) recordListRestore(this.#state, this.options.clock.now())
+    this.#point = { epoch, revision }
   }
 
   #applyList(isFirst: boolean): void {
@@ -130,7 +151,8 @@
     const upstreams = this.#listed.map(({ id, service, version, address, state }) =>
       [id, service, version, address, state].join(' '),
     )
-    this.options.log.event('upstreams-listed', { version: this.#version, upstreams })
+    const { epoch, revision } = this.#point
+    this.options.log.event('upstreams-listed', { version: revision, epoch, upstreams })
   }
 }
 
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -119,6 +119,8 @@
 export interface UpstreamsMessage {
   type: 'upstreams'
   version: number
+  /** Epoch of `version`; undefined is 0. */
+  epoch?: number
   entries: ListedUpstream[]
   /** Stamp of the request, on the requester's clock. */
   stamp: Milliseconds
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -418,8 +418,8 @@
     expect(operators.apply({ ...before, revision: 5 })).to.equal(true)
     expect(operators.apply(before)).to.equal(false)
     expect(operators.state.revision).to.equal(5)
-    upstreams.list.apply([], 9)
-    expect(upstreams.list.apply(running.store.upstreams, 8)).to.equal(false)
+    upstreams.list.apply([], { revision: 9 })
+    expect(upstreams.list.apply(running.store.upstreams, { revision: 8 })).to.equal(false)
     expect(upstreams.list.listed).to.deep.equal([])
   })
 
@@ -427,7 +427,7 @@
     const running = await start([await startUpstream('u1', succeeds)], {})
     const { upstreams } = running.gateway.services
     upstreams.list.recordOutage(3_000)
-    upstreams.list.apply([], 9)
+    upstreams.list.apply([], { revision: 9 })
     // This box may still use the upstream for a while, but shares only the list from the store.
     expect(upstreams.list.listed).to.deep.equal([])
   })
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -75,7 +75,7 @@
     onGone: () => {},
     onUnreachable: upstream => void unreachable.push(upstream.listed.id),
   })
-  directory.list.apply([listed('one'), listed('two')], 1)
+  directory.list.apply([listed('one'), listed('two')], { revision: 1 })
   const query = { service: 'pool', admits: () => true, bodyBytes: 0, connectionLimit: 9 }
   const pick = (tried: string[]) => directory.pick({ ...query, tried })!
   return { directory, outcomes, unreachable, pick, one: pick(['two']), two: pick(['one']) }
--- a/packages/gateway/test/storeRestore.test.ts
+++ b/packages/gateway/test/storeRestore.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import type { ListedUpstream } from '@yewkeel/decisions'
 import { createFleet, type Fleet } from './testFleet.js'
 
 const DATA_CENTRES = ['alesund', 'bergen', 'maloy']
@@ -26,6 +27,25 @@
   return fleet
 }
 
+const listed = (id: string, change: Partial<ListedUpstream> = {}): ListedUpstream => ({
+  id,
+  service: 'pool',
+  address: `${id}:1`,
+  dataCentre: 'bergen',
+  version: 'v1',
+  slots: 4,
+  state: 'ready',
+  revision: 1,
+  ...change,
+})
+
+/** Numbers of ready upstreams that boxes know. */
+const readyCounts = ({ boxes }: Fleet) => [
+  ...new Set(
+    boxes.map(({ gateway }) => gateway.services.upstreams.readyVersions('pool').get('v1')),
+  ),
+]
+
 const configurationsOf = ({ boxes }: Fleet) => [
   ...new Set(boxes.map(({ gateway }) => gateway.services.operators.index!.configuration.revision)),
 ]
@@ -91,4 +111,34 @@
     await fleet.clock.advance(2_000)
     expect(configurationsOf(fleet)).to.eql([2])
   })
+
+  it('stops requests within 1.5 s to an upstream that drains just after the restore', async () => {
+    fleet = createFleet(DATA_CENTRES)
+    Object.assign(fleet.store, { version: 50, upstreams: ['a', 'b', 'c'].map(id => listed(id)) })
+    fleet.add(12)
+    await fleet.clock.advance(6_000)
+    expect(readyCounts(fleet)).to.eql([3])
+    restore(fleet)
+    await fleet.clock.advance(150)
+    fleet.store.upstreams = [listed('a'), listed('b', { state: 'draining' }), listed('c')]
+    fleet.store.version++
+    await fleet.clock.advance(1_500)
+    expect(readyCounts(fleet)).to.eql([2])
+  })
+
+  it('keeps using upstreams that the copy lacks until they have written their entries again', async () => {
+    fleet = createFleet(DATA_CENTRES)
+    const upstreams = ['a', 'b', 'c'].map(id => listed(id))
+    Object.assign(fleet.store, { version: 50, upstreams })
+    fleet.add(12)
+    await fleet.clock.advance(6_000)
+    restore(fleet)
+    fleet.store.upstreams = [listed('a')]
+    await fleet.clock.advance(1_800)
+    expect(readyCounts(fleet)).to.eql([3])
+    fleet.store.upstreams = upstreams
+    fleet.store.version++
+    await fleet.clock.advance(6_000)
+    expect(readyCounts(fleet)).to.eql([3])
+  })
 })
