Estimate the store's clock anew in each epoch

Cause: the offset to the store's clock only grows; a restored store that goes on with an earlier time would never be followed, and a box that still estimates by the earlier epoch would give it to all others again. Rollouts ramp by that clock. Ruled out: the average of both; the boxes would ramp apart. Change: the estimate is a class of its own with an epoch: a later one begins anew, values of an earlier one, and of boxes that state none, are ignored. Gossip names the epoch of the time that it carries. Conclusion: the clock is right as soon as one answer of the new epoch is known; what a rollout's start time means then is left to its task.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -240,7 +240,10 @@
       }),
       rollouts: rollouts.statuses,
       verdicts: rollouts.verdicts,
-      ...(rollouts.storeNow !== undefined && { storeNow: rollouts.storeNow }),
+      ...(rollouts.storeNow !== undefined && {
+        storeNow: rollouts.storeNow,
+        storeEpoch: rollouts.storeClock.epoch,
+      }),
     }),
     onOperatorsProved: (proof, provedAt) => operators.applyProof(proof, provedAt),
     onUpstreamsProved: (proof, provedAt) => reader.applyListProof(proof, provedAt),
@@ -260,7 +263,7 @@
     onWorkSums: entries => work.recordDataCentreWork(entries),
     onWorkRole: () => work.changeRole(),
     currentWork: () => work.all(),
-    onStoreClock: (storeNow, at) => rollouts.updateStoreClock(storeNow, at),
+    onStoreClock: (storeNow, at, epoch) => rollouts.updateStoreClock(storeNow, at, epoch),
     currentOperators,
     currentUpstreams,
     onSuspects(entries, isComplete) {
--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -35,7 +35,7 @@
 /** The part of a gossip message that comes from other tasks of this box. */
 export interface GossipContent extends Pick<
   Gossip,
-  'operators' | 'upstreams' | 'rollouts' | 'verdicts' | 'storeNow'
+  'operators' | 'upstreams' | 'rollouts' | 'verdicts' | 'storeNow' | 'storeEpoch'
 > {
   own: Omit<OwnReport, 'sequence'>
 }
@@ -73,7 +73,7 @@
   onWorkRole(): void
   /** All work entries that this box sends in its current role. */
   currentWork(): WorkEntry[]
-  onStoreClock(storeNow: Milliseconds, at: Milliseconds): void
+  onStoreClock(storeNow: Milliseconds, at: Milliseconds, epoch: number): void
   currentOperators(): Omit<OperatorsMessage, 'stamp' | 'type'>
   currentUpstreams(): Omit<UpstreamsMessage, 'stamp' | 'type'>
   /**
@@ -435,7 +435,8 @@
     onRollouts(message.rollouts)
     onVerdicts(message.verdicts)
     onWork(box, message.work)
-    if (message.storeNow !== undefined) onStoreClock(message.storeNow, now)
+    const { storeNow, storeEpoch = 0 } = message
+    if (storeNow !== undefined) onStoreClock(storeNow, now, storeEpoch)
     if (message.echo) this.#applyProofs(from, message, message.echo)
   }
 
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -20,6 +20,7 @@
   type VersionTrial,
 } from '@yewkeel/decisions'
 import type { EventLog, Store } from '../types/ports.js'
+import { StoreClock } from './storeClock.js'
 import type { UpstreamDirectory } from './upstreamDirectory.js'
 import { VersionEvaluator, type BoxAnswers } from './versionEvaluator.js'
 
@@ -63,7 +64,8 @@
 export class RolloutTask {
   #orders: readonly RolloutOrder[] = []
   readonly #statuses = new Map<string, RolloutStatus>()
-  #storeOffset: Milliseconds | undefined
+  /** The store's clock, by which all boxes ramp alike. */
+  readonly storeClock: StoreClock
   /** Judges the versions that are rolled out. */
   readonly evaluator: VersionEvaluator
   /** Store time at which this box first read the order, by service. */
@@ -81,6 +83,7 @@
   readonly #writing = new Set<string>()
 
   constructor(private readonly options: RolloutTaskOptions) {
+    this.storeClock = new StoreClock(options.clock)
     this.evaluator = new VersionEvaluator({
       isOnTrial: (service, version) => this.isOnTrial(service, version),
       onBadAnswer: () => this.options.onBadAnswer(),
@@ -93,9 +96,7 @@
 
   /** Estimated time on the store's clock; undefined before its first answer. */
   get storeNow(): Milliseconds | undefined {
-    return this.#storeOffset === undefined
-      ? undefined
-      : this.options.clock.now() + this.#storeOffset
+    return this.storeClock.now
   }
 
   /** This box's answer counts for gossip; empty unless a rollout is in progress. */
@@ -143,14 +144,8 @@
     return this.#orders.some(order => !isRolloutFinished(order, this.#statuses.get(order.service)))
   }
 
-  /**
-   * Updates the offset to the store's clock. Latency only reduces an observed offset, so the
-   * largest is the best estimate.
-   */
-  updateStoreClock(storeNow: Milliseconds, at: Milliseconds): void {
-    if (!Number.isFinite(storeNow)) return
-    const offset = storeNow - at
-    if (this.#storeOffset === undefined || offset > this.#storeOffset) this.#storeOffset = offset
+  updateStoreClock(storeNow: Milliseconds, at: Milliseconds, epoch = 0): void {
+    this.storeClock.update(storeNow, at, epoch)
   }
 
   applyOrders(orders: readonly RolloutOrder[]): void {
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -8,7 +8,7 @@
 import { confirm, confirmationAge, epochOf, isLaterRevision, sleep } from '@yewkeel/decisions'
 import { CONNECT_TIMEOUT } from '../node/connectTimeout.js'
 import type { FreshnessProof } from '../types/gossip.js'
-import type { EventLog, GatewayMetrics, Store } from '../types/ports.js'
+import type { EventLog, GatewayMetrics, Store, StoreRead } from '../types/ports.js'
 import type { OperatorTask } from './operatorTask.js'
 import type { ProofAnswer } from './peerTask.js'
 import type { RolloutTask } from './rolloutTask.js'
@@ -208,7 +208,7 @@
     if (!isFirst) {
       const wait = isReader() ? Math.round(LONG_POLL_SHARE * newsWithin()) : 0
       const news = await store.awaitOperatorState(operators.state, wait)
-      this.#recordAnswer(news.storeNow)
+      this.#recordAnswer(news)
       if (!news.value) {
         operators.recordConfirmation({ epoch: news.epoch, revision: news.version }, sentAt)
         // Sent at once, a confirmation reaches distant boxes before they read for themselves.
@@ -218,7 +218,7 @@
     }
     const readAt = clock.now()
     const read = await store.readOperatorState()
-    this.#recordAnswer(read.storeNow)
+    this.#recordAnswer(read)
     const isNewest = operators.apply(read.value, readAt)
     this.options.onOperatorsRead()
     if (read.value.orders.length > 0) rollouts.mergeStatuses((await store.readRollouts()).value)
@@ -234,7 +234,7 @@
     const sentAt = clock.now()
     try {
       const read = await store.readUpstreams()
-      this.#recordAnswer(read.storeNow)
+      this.#recordAnswer(read)
       const point = { epoch: read.epoch, revision: read.version }
       const isChanged = this.takeList(read.value, point, sentAt)
       if (isChanged) this.options.onUpstreamsRead()
@@ -251,10 +251,10 @@
     return CHECK_INTERVAL
   }
 
-  #recordAnswer(storeNow: Milliseconds): void {
+  #recordAnswer({ storeNow, ...point }: StoreRead<unknown>): void {
     const { rollouts, clock, log, metrics } = this.options
     metrics.count('storeCalls', 'answered')
-    rollouts.updateStoreClock(storeNow, clock.now())
+    rollouts.updateStoreClock(storeNow, clock.now(), epochOf(point))
     if (!this.#isStoreOut) return
     this.#isStoreOut = false
     log.event('store-back', {})
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -68,6 +68,8 @@
   work: WorkEntry[]
   /** The store's clock at the time of sending. */
   storeNow?: Milliseconds
+  /** Epoch of `storeNow`; undefined is 0. */
+  storeEpoch?: number
 }
 
 /** A rate limit or drain notice that an upstream sent in a response to any box. */
