Say once that the store was restored: a line, a gauge and a callback

What was missing for its cause: no line says that the store came back from a copy. Cause: the epoch was not known to the boxes. Ruled out: a line for each answer of a new epoch; the boxes read several times a second. Change: a watch records the points that the store has reached, by answers and by gossip. When a later epoch is first seen it logs `store-restored` with both epochs and the revisions before and after, and calls back; the gauge `epoch` shows the newest. The first epoch known is none that was entered, and messages of boxes that state none do not count. Before: the fleet test finds no line.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -13,6 +13,7 @@
 import { StallWatch } from './requests/stallWatch.js'
 import { QuarantineTask } from './tasks/quarantineTask.js'
 import { EngineWork } from './tasks/engineWork.js'
+import { EpochWatch } from './tasks/epochWatch.js'
 import { EntryTask } from './tasks/entryTask.js'
 import { OperatorTask } from './tasks/operatorTask.js'
 import { PauseWatch } from './tasks/pauseWatch.js'
@@ -204,6 +205,7 @@
     onVerdict: announce,
     onBadAnswer: announceBadAnswer,
   })
+  const epochs = new EpochWatch({ log, onEpoch() {} })
   const reader = new StoreReader({
     clock,
     log,
@@ -212,6 +214,7 @@
     operators,
     upstreams: upstreams.list,
     rollouts,
+    epochs,
     isReader,
     boxCount: () => services.boxCount(),
     onStoreChange: announce,
@@ -245,8 +248,14 @@
         storeEpoch: rollouts.storeClock.epoch,
       }),
     }),
-    onOperatorsProved: (proof, provedAt) => operators.applyProof(proof, provedAt),
-    onUpstreamsProved: (proof, provedAt) => reader.applyListProof(proof, provedAt),
+    onOperatorsProved(proof, provedAt) {
+      epochs.record(proof)
+      return operators.applyProof(proof, provedAt)
+    },
+    onUpstreamsProved(proof, provedAt) {
+      epochs.record(proof)
+      return reader.applyListProof(proof, provedAt)
+    },
     onOperators(next, provedAt) {
       const { fingerprint, configuration } = operators.state
       operators.apply(next, provedAt)
@@ -349,6 +358,7 @@
   }
 
   metrics.watch('held', () => upstreams.countRestricted())
+  metrics.watch('epoch', () => ({ store: epochs.epoch }))
 
   const startedAt = clock.now()
   const services: GatewayServices = {
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -9,6 +9,7 @@
 import { CONNECT_TIMEOUT } from '../node/connectTimeout.js'
 import type { FreshnessProof } from '../types/gossip.js'
 import type { EventLog, GatewayMetrics, Store, StoreRead } from '../types/ports.js'
+import type { EpochWatch } from './epochWatch.js'
 import type { OperatorTask } from './operatorTask.js'
 import type { ProofAnswer } from './peerTask.js'
 import type { RolloutTask } from './rolloutTask.js'
@@ -22,6 +23,7 @@
   operators: OperatorTask
   upstreams: UpstreamListTask
   rollouts: RolloutTask
+  epochs: EpochWatch
   /**
    * Whether this box is a designated reader; others read only when they receive no confirmation.
    */
@@ -251,10 +253,11 @@
     return CHECK_INTERVAL
   }
 
-  #recordAnswer({ storeNow, ...point }: StoreRead<unknown>): void {
-    const { rollouts, clock, log, metrics } = this.options
+  #recordAnswer({ version, epoch = 0, storeNow }: StoreRead<unknown>): void {
+    const { rollouts, epochs, clock, log, metrics } = this.options
     metrics.count('storeCalls', 'answered')
-    rollouts.updateStoreClock(storeNow, clock.now(), epochOf(point))
+    rollouts.updateStoreClock(storeNow, clock.now(), epoch)
+    epochs.record({ epoch, revision: version })
     if (!this.#isStoreOut) return
     this.#isStoreOut = false
     log.event('store-back', {})
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -206,7 +206,7 @@
   watch(name: GaugeName, read: () => Partial<Record<string, number>>): void
 }
 
-export type GaugeName = 'held'
+export type GaugeName = 'epoch' | 'held'
 
 export type CounterName =
   | 'requests'
--- a/packages/gateway/test/storeReader.test.ts
+++ b/packages/gateway/test/storeReader.test.ts
@@ -42,6 +42,7 @@
       recordOutage() {},
     },
     rollouts: { updateStoreClock() {} },
+    epochs: { record() {} },
     isReader: () => false,
     boxCount: () => 7,
     onStoreChange() {},
--- a/packages/gateway/test/storeRestore.test.ts
+++ b/packages/gateway/test/storeRestore.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import type { ListedUpstream } from '@yewkeel/decisions'
+import type { MetricsRegistry } from '../src/index.js'
 import { createFleet, type Fleet } from './testFleet.js'
 
 const DATA_CENTRES = ['alesund', 'bergen', 'maloy']
@@ -141,4 +142,18 @@
     await fleet.clock.advance(6_000)
     expect(readyCounts(fleet)).to.eql([3])
   })
+
+  it('is noticed once by each box for each restore, and counted by a gauge', async () => {
+    fleet = await startFleet(12)
+    for (const count of [1, 2]) {
+      restore(fleet)
+      await fleet.clock.advance(2_500)
+      const noticed = fleet.eventLog.filter(({ event }) => event === 'store-restored')
+      expect(noticed).to.have.length(12 * count)
+      for (const { gateway } of fleet.boxes) {
+        const metrics = gateway.services.metrics as MetricsRegistry
+        expect(await metrics.text()).to.include(`yewkeel_epoch{kind="store"} ${count}\n`)
+      }
+    }
+  })
 })
