--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -54,6 +54,10 @@
 /** A draining box stops after this long without a request. */
 const DRAIN_QUIET_DURATION: Milliseconds = 500
 
+/** Time to send the answers of requests that were ended, within the margin before the kill. */
+const LAST_ANSWERS_TIMEOUT: Milliseconds = 250
+const LAST_ANSWERS_POLL_INTERVAL: Milliseconds = 10
+
 /** Runs a gateway on network sockets. */
 export async function runGateway(options: RunGatewayOptions): Promise<RunningGateway> {
   const { settings, clock, log } = options
@@ -93,6 +97,9 @@
     bodyBytes: () =>
       gateway.services.operators.index?.configuration.limits.bodyBytes ?? DEFAULT_MAX_BODY_BYTES,
     handle: (request, answer) => gateway.handle(request, answer),
+    onDropped(why, headers) {
+      log.event('request-dropped', { id: options.dialect.readRequest(headers).id, why })
+    },
   })
   const peerAddress = await transport.open()
   gateway.start()
@@ -119,10 +126,15 @@
     entryAddress: entry.address,
     peerAddress,
     async stop() {
-      await drain(gateway, entry, settings, clock, log)
+      const startedAt = clock.now()
+      await drain(gateway, entry, settings, clock)
+      gateway.endRequests()
+      await lastAnswersSent(entry, clock)
+      // In the turn of the decision: a request that is read later would be lost.
+      const unanswered = entry.close()
+      log.event('stopped', { after: Math.round(clock.now() - startedAt), unanswered })
       await gateway.stop()
       for (const server of servers) server.close()
-      entry.close()
     },
   }
 }
@@ -138,7 +150,6 @@
   entry: EntryServer,
   settings: GatewaySettings,
   clock: Clock,
-  log: EventLog,
 ): Promise<void> {
   const startedAt = clock.now()
   gateway.startDraining()
@@ -150,12 +161,17 @@
     if (entry.openRequests > 0) lastBusyAt = now
     if (now - startedAt > IDLE_CLOSE_DELAY) entry.closeIdle()
     const isQuiet = now - lastBusyAt > DRAIN_QUIET_DURATION && now - startedAt > MIN_DRAIN_DURATION
-    if (!isQuiet && now - startedAt < settings.stopWithin) continue
-    log.event('stopped', { after: Math.round(now - startedAt), underWay: entry.openRequests })
-    return
+    if (isQuiet || now - startedAt >= settings.stopWithin) return
   }
 }
 
+/** Waits until the last answers have been sent, for a limited time. */
+async function lastAnswersSent(entry: EntryServer, clock: Clock): Promise<void> {
+  const deadline = clock.now() + LAST_ANSWERS_TIMEOUT
+  while (entry.openRequests > 0 && clock.now() < deadline)
+    await sleep(clock, LAST_ANSWERS_POLL_INTERVAL)
+}
+
 function answerDirectory(
   options: RunGatewayOptions,
   gateway: Gateway,
