--- a/packages/gateway/src/tasks/peerTask.ts
+++ b/packages/gateway/src/tasks/peerTask.ts
@@ -9,6 +9,7 @@
   type ListedUpstream,
   type Milliseconds,
   type RolloutStatus,
+  type StoreRevision,
   type WorkEntry,
   type WorkRole,
 } from '@yewkeel/decisions'
@@ -18,6 +19,8 @@
   Gossip,
   OwnReport,
   FreshnessProof,
+  OperatorProof,
+  OperatorsMessage,
   Advertisement,
   UpstreamsMessage,
 } from '../types/gossip.js'
@@ -32,7 +35,7 @@
 /** The part of a gossip message that comes from other tasks of this box. */
 export interface GossipContent extends Pick<
   Gossip,
-  'operators' | 'upstreams' | 'rollouts' | 'verdicts' | 'storeNow'
+  'operators' | 'upstreams' | 'rollouts' | 'verdicts' | 'storeNow' | 'storeEpoch'
 > {
   own: Omit<OwnReport, 'sequence'>
 }
@@ -50,11 +53,16 @@
    * A neighbour confirmed that this was the newest state in the store at `provedAt`, on this box's
    * clock.
    */
-  onOperatorsProved(proof: FreshnessProof, provedAt: Milliseconds): ProofAnswer
+  onOperatorsProved(proof: OperatorProof, provedAt: Milliseconds): ProofAnswer
   onUpstreamsProved(proof: FreshnessProof, provedAt: Milliseconds): ProofAnswer
-  onOperators(state: OperatorState): void
+  /** `provedAt` is undefined if the sender does not know the age of its state. */
+  onOperators(state: OperatorState, provedAt: Milliseconds | undefined): void
   /** `provedAt` is undefined if the sender does not know the age of its list. */
-  onUpstreams(entries: ListedUpstream[], version: number, provedAt: Milliseconds | undefined): void
+  onUpstreams(
+    entries: ListedUpstream[],
+    point: StoreRevision,
+    provedAt: Milliseconds | undefined,
+  ): void
   /** Receives runs of upstreams that have ended. Returns those that this box did not know. */
   onUpstreamsGone(runs: readonly string[]): string[]
   onRollouts(statuses: RolloutStatus[]): void
@@ -65,8 +73,8 @@
   onWorkRole(): void
   /** All work entries that this box sends in its current role. */
   currentWork(): WorkEntry[]
-  onStoreClock(storeNow: Milliseconds, at: Milliseconds): void
-  currentOperators(): OperatorState
+  onStoreClock(storeNow: Milliseconds, at: Milliseconds, epoch: number): void
+  currentOperators(): Omit<OperatorsMessage, 'stamp' | 'type'>
   currentUpstreams(): Omit<UpstreamsMessage, 'stamp' | 'type'>
   /**
    * Returns the entries that were new to this box. `isComplete`: the entries include everything
@@ -139,9 +147,12 @@
     boxes: (_from, message) => {
       for (const entry of message.entries) this.#known.addEntry(entry)
     },
-    'operators-wanted': from =>
-      this.#reply(from, { type: 'operators', state: this.options.currentOperators() }),
-    operators: (_from, message) => this.options.onOperators(message.state),
+    'operators-wanted': (from, { stamp }) =>
+      this.#reply(from, { type: 'operators', stamp, ...this.options.currentOperators() }),
+    operators: (_from, { state, stamp, age }) => {
+      const isProved = stamp !== undefined && age !== undefined
+      this.options.onOperators(state, isProved ? stamp - age : undefined)
+    },
     'upstreams-wanted': (from, { stamp }) =>
       this.#reply(from, { type: 'upstreams', stamp, ...this.options.currentUpstreams() }),
     'upstreams-gone': (_from, { runs }) => {
@@ -149,8 +160,10 @@
       // In a mesh the box that detected the end has already sent it to all.
       if (!this.isFullMesh) this.announceEndedRuns(added)
     },
-    upstreams: (_from, { entries, version, stamp, age }) =>
-      this.options.onUpstreams(entries, version, age === undefined ? undefined : stamp - age),
+    upstreams: (_from, { entries, version, epoch, stamp, age }) => {
+      const provedAt = age === undefined ? undefined : stamp - age
+      this.options.onUpstreams(entries, { epoch, revision: version }, provedAt)
+    },
     'statements-wanted': from => {
       const entries = this.options.currentAdvertisements()
       if (entries.length > 0) this.#reply(from, { type: 'statements', entries })
@@ -422,7 +435,8 @@
     onRollouts(message.rollouts)
     onVerdicts(message.verdicts)
     onWork(box, message.work)
-    if (message.storeNow !== undefined) onStoreClock(message.storeNow, now)
+    const { storeNow, storeEpoch = 0 } = message
+    if (storeNow !== undefined) onStoreClock(storeNow, now, storeEpoch)
     if (message.echo) this.#applyProofs(from, message, message.echo)
   }
 
@@ -432,7 +446,7 @@
     const provedAt = ({ age }: FreshnessProof) =>
       earliestProofAt({ echo: echo.stamp, heldFor: echo.heldFor, age })
     if (operators && onOperatorsProved(operators, provedAt(operators)) === 'wanted')
-      this.#request(from, { type: 'operators-wanted' })
+      this.#request(from, { type: 'operators-wanted', stamp: this.options.clock.now() })
     if (upstreams && onUpstreamsProved(upstreams, provedAt(upstreams)) === 'wanted')
       this.#request(from, { type: 'upstreams-wanted', stamp: this.options.clock.now() })
   }
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -1,10 +1,12 @@
 import {
   createSeededRandom,
+  isLaterRevision,
   ManualClock,
   type Configuration,
   type ListedUpstream,
   type Milliseconds,
   type RolloutStatus,
+  type StoreRevision,
 } from '@yewkeel/decisions'
 import type { QuarantineEntry, PeerIdentity, PeerListener, PeerTransport } from '@yewkeel/box'
 import {
@@ -41,6 +43,8 @@
     operators: OperatorState
     upstreams: ListedUpstream[]
     version: number
+    /** Number of restores so far. */
+    epoch: number
     entries: Map<string, BoxEntry>
     condemned: Map<string, QuarantineEntry>
     rollouts: RolloutStatus[]
@@ -115,6 +119,7 @@
     },
     upstreams: [],
     version: 5,
+    epoch: 0,
     entries: new Map(),
     condemned: new Map(),
     rollouts: [],
@@ -135,11 +140,16 @@
     }
     if (createStore) return createStore(call, clock)
     const read = <T>(value: () => T) =>
-      call(() => ({ value: value(), version: store.version, storeNow: clock.now() }))
+      call(() => ({
+        value: value(),
+        version: store.version,
+        epoch: store.epoch,
+        storeNow: clock.now(),
+      }))
     return {
       readOperatorState: () => read(() => store.operators),
-      async awaitOperatorState(revision, wait) {
-        const answer = await read(() => store.operators.revision > revision)
+      async awaitOperatorState(since, wait) {
+        const answer = await read(() => isLaterRevision(store.operators, since))
         if (!answer.value) await sleep(wait)
         return answer
       },
@@ -156,9 +166,12 @@
     }
   }
 
-  function writeRollout(status: Omit<RolloutStatus, 'revision'>, expected: number): WriteOutcome {
+  function writeRollout(
+    status: Omit<RolloutStatus, keyof StoreRevision>,
+    expected: StoreRevision,
+  ): WriteOutcome {
     const current = store.rollouts.find(({ service }) => service === status.service)
-    if ((current?.revision ?? 0) !== expected) return 'conflict'
+    if ((current?.revision ?? 0) !== expected.revision) return 'conflict'
     const others = store.rollouts.filter(({ service }) => service !== status.service)
     store.rollouts = [...others, { ...status, revision: ++store.version }]
     return 'written'
