Rollout orders, statuses and verdicts as points of the store's history

Callers saw nothing of this. Ruled out: a field of its own kind in each type; all are points of the store, and extend StoreRevision. Measured: the build and the linter pass. Conclusion: basis for what follows.

--- a/packages/decisions/src/rollouts/rollout.ts
+++ b/packages/decisions/src/rollouts/rollout.ts
@@ -1,19 +1,24 @@
+import type { StoreRevision } from '../freshness/storeRevision.js'
 import type { Milliseconds } from '../types/clock.js'
 
-/** An operator's order to roll out a version: to move a service's traffic to it. */
-export interface RolloutOrder {
+/**
+ * An operator's order to roll out a version: to move a service's traffic to it. As a revision, it
+ * is that of the order's row; a later order has a later one.
+ */
+export interface RolloutOrder extends StoreRevision {
   service: string
   target: string
   /** Time in which the rollout is to be completed. */
   duration: Milliseconds
-  /** Store revision of the order's row; a later order has a higher one. */
-  revision: number
 }
 
 export type RolloutState = 'active' | 'completed' | 'rolled-back'
 
-/** Progress of a rollout, as stored and read by all boxes. */
-export interface RolloutStatus {
+/**
+ * Progress of a rollout, as stored and read by all boxes. As a revision, it is that of the status
+ * row, for compare-and-swap.
+ */
+export interface RolloutStatus extends StoreRevision {
   service: string
   target: string
   state: RolloutState
@@ -24,8 +29,6 @@
    * some seconds.
    */
   rejected?: readonly string[]
-  /** Store revision of the status row, for compare-and-swap. */
-  revision: number
 }
 
 /** Whether the status belongs to this order, not to an earlier one. */
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -16,6 +16,7 @@
   type RolloutOrder,
   type RolloutState,
   type RolloutStatus,
+  type StoreRevision,
   type VersionFault,
   type VersionTrial,
 } from '@yewkeel/decisions'
@@ -49,11 +50,12 @@
 
 const EVIDENCE_LOG_INTERVAL: Milliseconds = 1_000
 
-/** States that the boxes found the target of an order bad; may precede the store's status. */
-export interface Verdict {
+/**
+ * States that the boxes found the target of an order bad; may precede the store's status. As a
+ * revision, it is that of the order.
+ */
+export interface Verdict extends StoreRevision {
   service: string
-  /** Revision of the order. */
-  revision: number
 }
 
 /**
