Keep a rollout order, its evidence and its verdict when the store is restored

Callers saw: after the store came back from a copy, a version that the boxes had found bad could get requests again, and its trial began without its evidence. After a restore the row has another point, so evidence, verdict and start were dropped; another order under the same number inherited the verdict. While the store lacked the order, or showed the one before, the box followed that. Ruled out: target and duration alone as identity; within one epoch the operator may order the same again. Change: an order of a later epoch with equal service, target and duration is the known one at a new revision. An order that the store lacks since a restore, or replaces by the row that it had replaced, stays in force until it is written again; once it is, a removal ends it. Verdicts are compared by epoch and revision. The epoch of a read is a parameter that callers still have to pass. Conclusion: what is known of an order outlasts a restore; its status follows.

--- a/packages/decisions/src/freshness/storeRevision.ts
+++ b/packages/decisions/src/freshness/storeRevision.ts
@@ -23,3 +23,8 @@
 export function epochOf({ epoch }: Pick<StoreRevision, 'epoch'>): number {
   return epoch ?? 0
 }
+
+/** The point of something that is known by one, without its other fields. */
+export function revisionOf({ epoch, revision }: StoreRevision): StoreRevision {
+  return { ...(epoch !== undefined && { epoch }), revision }
+}
--- a/packages/decisions/src/rollouts/rollout.ts
+++ b/packages/decisions/src/rollouts/rollout.ts
@@ -1,4 +1,9 @@
-import type { StoreRevision } from '../freshness/storeRevision.js'
+import {
+  compareRevisions,
+  epochOf,
+  isLaterRevision,
+  type StoreRevision,
+} from '../freshness/storeRevision.js'
 import type { Milliseconds } from '../types/clock.js'
 
 /**
@@ -31,9 +36,26 @@
   rejected?: readonly string[]
 }
 
+/**
+ * Whether an order that was read is the known one. In a later epoch of the store it may have another
+ * revision, since the operator writes again what was lost.
+ */
+export function isSameOrder(known: RolloutOrder, read: RolloutOrder): boolean {
+  if (epochOf(read) <= epochOf(known)) return compareRevisions(known, read) === 0
+  return isEqualOrder(known, read)
+}
+
+function isEqualOrder(left: RolloutOrder, right: RolloutOrder): boolean {
+  return (
+    left.service === right.service &&
+    left.target === right.target &&
+    left.duration === right.duration
+  )
+}
+
 /** Whether the status belongs to this order, not to an earlier one. */
 export function belongsToOrder(status: RolloutStatus | undefined, order: RolloutOrder): boolean {
-  return status !== undefined && status.target === order.target && status.revision > order.revision
+  return status !== undefined && status.target === order.target && isLaterRevision(status, order)
 }
 
 /** Whether the rollout was completed or rolled back. */
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -1,11 +1,16 @@
 import {
+  compareRevisions,
   decideRollout,
   goesToTarget,
   belongsToOrder,
+  isLaterRevision,
   isRolloutFinished,
+  isSameOrder,
   isTrialOver,
   keepsSessions,
   rejectedVersions,
+  resolveOrders,
+  revisionOf,
   targetShare,
   excludeRejected,
   type AnswerCount,
@@ -64,6 +69,8 @@
  */
 export class RolloutTask {
   #orders: readonly RolloutOrder[] = []
+  /** The order before the current one, by service. */
+  readonly #replacedOrders = new Map<string, RolloutOrder>()
   readonly #statuses = new Map<string, RolloutStatus>()
   #storeOffset: Milliseconds | undefined
   /** Judges the versions that are rolled out. */
@@ -71,7 +78,7 @@
   /** Store time at which this box first read the order, by service. */
   readonly #orderedAt = new Map<string, Milliseconds>()
   /** Revision of the order whose target was found bad, by service. */
-  readonly #badTargets = new Map<string, number>()
+  readonly #badTargets = new Map<string, StoreRevision>()
   #evidenceLoggedAt = -Infinity
   /** Services whose target ended its trial with unfavourable evidence. */
   readonly #doubtfulServices = new Set<string>()
@@ -107,7 +114,7 @@
 
   /** Verdicts for gossip, including those that the store may not have yet. */
   get verdicts(): Verdict[] {
-    return [...this.#badTargets].map(([service, revision]) => ({ service, revision }))
+    return [...this.#badTargets].map(([service, at]) => ({ service, ...at }))
   }
 
   /** Whether the version is being rolled out and may still be rolled back. */
@@ -136,8 +143,9 @@
     return targetShare(order, status, storeNow, this.options.exposureLimit(), isDoubted)
   }
 
-  #isMarkedBad({ service, revision }: RolloutOrder): boolean {
-    return this.#badTargets.get(service) === revision
+  #isMarkedBad(order: RolloutOrder): boolean {
+    const bad = this.#badTargets.get(order.service)
+    return bad !== undefined && compareRevisions(bad, order) === 0
   }
 
   /** Whether some order is neither completed nor rolled back. */
@@ -155,20 +163,39 @@
     if (this.#storeOffset === undefined || offset > this.#storeOffset) this.#storeOffset = offset
   }
 
-  applyOrders(orders: readonly RolloutOrder[]): void {
-    if (orders.length !== this.#orders.length) this.#admissionRevision++
-    for (const order of orders) {
-      if (this.#orderOf(order.service)?.revision === order.revision) continue
-      this.evaluator.forget(order.service)
-      this.#orderedAt.delete(order.service)
-      this.#doubtfulServices.delete(order.service)
-      this.#admissionRevision++
-      this.options.log.event('rollout-ordered', { ...order })
-    }
+  /** Applies the orders of a read. `epoch`: epoch of the store at the read. */
+  applyOrders(read: readonly RolloutOrder[], epoch = 0): void {
+    const known = this.#orders
+    const orders = resolveOrders({ known, replaced: this.#replacedOrders, read, epoch })
+    if (orders.length !== known.length) this.#admissionRevision++
+    for (const order of orders) this.#applyOrder(order, this.#orderOf(order.service))
     this.#orders = orders
     this.#recordOrderTimes()
   }
 
+  #applyOrder(order: RolloutOrder, known: RolloutOrder | undefined): void {
+    if (known && compareRevisions(known, order) === 0) return
+    if (known && isSameOrder(known, order)) this.#renewOrder(order, known)
+    else this.#startOrder(order, known)
+    this.#admissionRevision++
+  }
+
+  #startOrder(order: RolloutOrder, known: RolloutOrder | undefined): void {
+    const { service } = order
+    if (known) this.#replacedOrders.set(service, known)
+    this.evaluator.forget(service)
+    this.#orderedAt.delete(service)
+    this.#doubtfulServices.delete(service)
+    this.options.log.event('rollout-ordered', { ...order })
+  }
+
+  /** Takes over an order at another revision, after a restore of the store, with all evidence. */
+  #renewOrder(order: RolloutOrder, known: RolloutOrder): void {
+    if (this.#isMarkedBad(known)) this.#badTargets.set(order.service, revisionOf(order))
+    const before = revisionOf(known)
+    this.options.log.event('rollout-order-restored', { ...order, before })
+  }
+
   #recordOrderTimes(): void {
     const { storeNow } = this
     if (storeNow === undefined) return
@@ -179,7 +206,7 @@
   mergeStatuses(statuses: readonly RolloutStatus[]): void {
     for (const status of statuses) {
       const known = this.#statuses.get(status.service)
-      if (known && known.revision >= status.revision) continue
+      if (known && !isLaterRevision(status, known)) continue
       this.#statuses.set(status.service, status)
       this.#admissionRevision++
       this.#pendingSince.delete(status.service)
@@ -189,15 +216,15 @@
 
   /** Applies verdicts of other boxes that match the current orders. */
   mergeVerdicts(verdicts: readonly Verdict[]): void {
-    for (const { service, revision } of verdicts) {
-      const order = this.#orderOf(service)
-      if (order?.revision === revision) this.#markBad(order, 'told')
+    for (const verdict of verdicts) {
+      const order = this.#orderOf(verdict.service)
+      if (order && compareRevisions(order, verdict) === 0) this.#markBad(order, 'told')
     }
   }
 
   #markBad(order: RolloutOrder, why: VersionFault | 'told'): void {
     if (this.#isMarkedBad(order)) return
-    this.#badTargets.set(order.service, order.revision)
+    this.#badTargets.set(order.service, revisionOf(order))
     this.#admissionRevision++
     const { service, target } = order
     const { storeNow } = this
