Keep the status of a rollout that a restored store has lost, and write it again

Callers saw: after the store came back from a copy, a version that had been rolled back could start anew, and a completed rollout (whose old upstreams have stopped) could be active again. After a restore the store shows an older one, or none, under an epoch that wins; ordered by number alone the older status was ignored instead, but never written again, and the compare-and-swap asked for a revision that the row no longer has. Ruled out: writing again whatever was known; the store may lack the order too, and a status written before its order is read as that of an earlier one. Remembering one replaced order only: with two orders within the age of the copy the store shows the one before that. Change: RolloutStatuses keeps apart what the store has and what it lost. A final state, an earlier start and the rejected versions stay in force for the same order; the leader, others after their delay, writes them at the revision of the row in the new epoch, once the order is there again. Gossip carries the lost status beside the stored one, with the order that it belongs to. A status that the store has acknowledged is known before it is read. Up to 32 replaced orders are remembered. Conclusion: final states outlast a restore as long as one box that knows them runs. A box that had not yet read a replaced order follows it until the operator has written the newer one again.

--- a/packages/decisions/src/rollouts/resolveOrders.ts
+++ b/packages/decisions/src/rollouts/resolveOrders.ts
@@ -1,12 +1,12 @@
 import { epochOf } from '../freshness/storeRevision.js'
-import type { RolloutOrder } from './rollout.js'
+import { isSameOrder, type RolloutOrder } from './rollout.js'
 
 /** Orders of the operators, as known to a box and as read from the store. */
 export interface OrdersView {
   /** Orders in force at this box. */
   known: readonly RolloutOrder[]
-  /** The orders that the known ones replaced, by service. */
-  replaced: ReadonlyMap<string, RolloutOrder>
+  /** Orders that later ones have replaced. */
+  replaced: readonly RolloutOrder[]
   read: readonly RolloutOrder[]
   /** Epoch of the store at the read. */
   epoch: number
@@ -20,19 +20,13 @@
   const lost = known.filter(order => {
     if (epoch <= epochOf(order)) return false
     const shown = read.find(({ service }) => service === order.service)
-    return !shown || isRestored(shown, replaced.get(order.service))
+    return !shown || replaced.some(earlier => isRestored(shown, earlier))
   })
   const kept = new Set(lost.map(({ service }) => service))
   return [...read.filter(({ service }) => !kept.has(service)), ...lost]
 }
 
-/** Whether an order that was read is the replaced one, whose row came back with the copy. */
-function isRestored(read: RolloutOrder, replaced: RolloutOrder | undefined): boolean {
-  return (
-    replaced !== undefined &&
-    epochOf(read) > epochOf(replaced) &&
-    read.revision === replaced.revision &&
-    read.target === replaced.target &&
-    read.duration === replaced.duration
-  )
+/** Whether an order that was read is an earlier one, whose row came back with the copy. */
+function isRestored(read: RolloutOrder, earlier: RolloutOrder): boolean {
+  return read.revision === earlier.revision && isSameOrder(earlier, read)
 }
--- a/packages/decisions/src/rollouts/rollout.ts
+++ b/packages/decisions/src/rollouts/rollout.ts
@@ -34,6 +34,11 @@
    * some seconds.
    */
   rejected?: readonly string[]
+  /**
+   * The order that it belongs to. Set if the store lost this status, so that the revisions do not
+   * show it.
+   */
+  order?: StoreRevision
 }
 
 /**
@@ -55,7 +60,9 @@
 
 /** Whether the status belongs to this order, not to an earlier one. */
 export function belongsToOrder(status: RolloutStatus | undefined, order: RolloutOrder): boolean {
-  return status !== undefined && status.target === order.target && isLaterRevision(status, order)
+  if (status?.target !== order.target) return false
+  if (status.order) return compareRevisions(status.order, order) === 0
+  return isLaterRevision(status, order)
 }
 
 /** Whether the rollout was completed or rolled back. */
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -106,7 +106,7 @@
     clock,
     log,
     onChange(next) {
-      rollouts.applyOrders(next.orders)
+      rollouts.applyOrders(next.orders, next.epoch)
       upstreams.evacuate(next.evacuated)
       upstreams.list.reapply()
       options.onConfiguration(next)
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -3,7 +3,6 @@
   decideRollout,
   goesToTarget,
   belongsToOrder,
-  isLaterRevision,
   isRolloutFinished,
   isSameOrder,
   isTrialOver,
@@ -25,7 +24,8 @@
   type VersionFault,
   type VersionTrial,
 } from '@yewkeel/decisions'
-import type { EventLog, Store } from '../types/ports.js'
+import type { EventLog, Store, StoreRead } from '../types/ports.js'
+import { RolloutStatuses } from './rolloutStatuses.js'
 import type { UpstreamDirectory } from './upstreamDirectory.js'
 import { VersionEvaluator, type BoxAnswers } from './versionEvaluator.js'
 
@@ -55,6 +55,9 @@
 
 const EVIDENCE_LOG_INTERVAL: Milliseconds = 1_000
 
+/** Replaced orders that a restored store may show again are a few seconds old. */
+const MAX_REPLACED_ORDERS = 32
+
 /**
  * States that the boxes found the target of an order bad; may precede the store's status. As a
  * revision, it is that of the order.
@@ -69,9 +72,9 @@
  */
 export class RolloutTask {
   #orders: readonly RolloutOrder[] = []
-  /** The order before the current one, by service. */
-  readonly #replacedOrders = new Map<string, RolloutOrder>()
-  readonly #statuses = new Map<string, RolloutStatus>()
+  /** Orders that later ones have replaced, the newest first. */
+  #replacedOrders: readonly RolloutOrder[] = []
+  readonly #statuses = new RolloutStatuses()
   #storeOffset: Milliseconds | undefined
   /** Judges the versions that are rolled out. */
   readonly evaluator: VersionEvaluator
@@ -97,7 +100,7 @@
   }
 
   get statuses(): RolloutStatus[] {
-    return [...this.#statuses.values()]
+    return this.#statuses.all
   }
 
   /** Estimated time on the store's clock; undefined before its first answer. */
@@ -120,7 +123,7 @@
   /** Whether the version is being rolled out and may still be rolled back. */
   isOnTrial(service: string, version: string): boolean {
     const order = this.#orderOf(service)
-    return order?.target === version && !isRolloutFinished(order, this.#statuses.get(service))
+    return order?.target === version && !isRolloutFinished(order, this.#statuses.find(service))
   }
 
   /** The target of the current rollout of a service and its share of requests now. */
@@ -137,7 +140,7 @@
 
   /** The target's share now; 0 once it is found bad, even if the store does not have that yet. */
   #shareOf(order: RolloutOrder, storeNow: Milliseconds): number {
-    const status = this.#statuses.get(order.service)
+    const status = this.#statuses.find(order.service)
     if (this.#isMarkedBad(order) && !isRolloutFinished(order, status)) return 0
     const isDoubted = this.#doubtfulServices.has(order.service)
     return targetShare(order, status, storeNow, this.options.exposureLimit(), isDoubted)
@@ -150,7 +153,7 @@
 
   /** Whether some order is neither completed nor rolled back. */
   get isUnderWay(): boolean {
-    return this.#orders.some(order => !isRolloutFinished(order, this.#statuses.get(order.service)))
+    return this.#orders.some(order => !isRolloutFinished(order, this.#statuses.find(order.service)))
   }
 
   /**
@@ -169,6 +172,8 @@
     const orders = resolveOrders({ known, replaced: this.#replacedOrders, read, epoch })
     if (orders.length !== known.length) this.#admissionRevision++
     for (const order of orders) this.#applyOrder(order, this.#orderOf(order.service))
+    for (const { service } of known)
+      if (!orders.some(order => order.service === service)) this.#statuses.removeOrder(service)
     this.#orders = orders
     this.#recordOrderTimes()
   }
@@ -182,16 +187,18 @@
 
   #startOrder(order: RolloutOrder, known: RolloutOrder | undefined): void {
     const { service } = order
-    if (known) this.#replacedOrders.set(service, known)
+    if (known) this.#replacedOrders = [known, ...this.#replacedOrders].slice(0, MAX_REPLACED_ORDERS)
     this.evaluator.forget(service)
     this.#orderedAt.delete(service)
     this.#doubtfulServices.delete(service)
+    this.#statuses.applyOrder(order)
     this.options.log.event('rollout-ordered', { ...order })
   }
 
   /** Takes over an order at another revision, after a restore of the store, with all evidence. */
   #renewOrder(order: RolloutOrder, known: RolloutOrder): void {
     if (this.#isMarkedBad(known)) this.#badTargets.set(order.service, revisionOf(order))
+    this.#statuses.applyOrder(order, known)
     const before = revisionOf(known)
     this.options.log.event('rollout-order-restored', { ...order, before })
   }
@@ -203,15 +210,26 @@
       if (!this.#orderedAt.has(service)) this.#orderedAt.set(service, storeNow)
   }
 
+  /** Merges statuses that another box sent. */
   mergeStatuses(statuses: readonly RolloutStatus[]): void {
-    for (const status of statuses) {
-      const known = this.#statuses.get(status.service)
-      if (known && !isLaterRevision(status, known)) continue
-      this.#statuses.set(status.service, status)
-      this.#admissionRevision++
-      this.#pendingSince.delete(status.service)
-      this.options.log.event('rollout-status', { ...status })
-    }
+    for (const status of statuses)
+      if (this.#statuses.merge(status)) this.#recordStatusChange(status.service)
+  }
+
+  /** Merges all statuses of the store. One that it lost stays in force and is written again. */
+  mergeStoredStatuses({ value, epoch = 0 }: StoreRead<readonly RolloutStatus[]>): void {
+    for (const service of this.#statuses.mergeStored(value, epoch))
+      this.#recordStatusChange(service)
+  }
+
+  #recordStatusChange(service: string): void {
+    this.#admissionRevision++
+    this.#pendingSince.delete(service)
+    const status = this.#statuses.find(service)
+    this.options.log.event('rollout-status', {
+      ...status,
+      stored: this.#statuses.storedAt(service),
+    })
   }
 
   /** Applies verdicts of other boxes that match the current orders. */
@@ -228,7 +246,7 @@
     this.#admissionRevision++
     const { service, target } = order
     const { storeNow } = this
-    const startedAt = this.#statuses.get(service)?.startedAt
+    const startedAt = this.#statuses.find(service)?.startedAt
     const after =
       storeNow === undefined || startedAt === undefined ? undefined : storeNow - startedAt
     this.options.log.event('version-condemned', { service, target, after, why })
@@ -255,7 +273,7 @@
   #drawAdmission(service: string, session: string | undefined): (version: string) => boolean {
     const order = this.#orderOf(service)
     if (!order) return this.#admitEstablished(service)
-    const status = this.#statuses.get(service)
+    const status = this.#statuses.find(service)
     const storeNow = this.storeNow ?? 0
     const shares = {
       target: order.target,
@@ -285,7 +303,7 @@
   #admitEstablished(service: string): (version: string) => boolean {
     const versions = this.options.upstreams.readyVersions(service)
     const established = this.#established.get(service) ?? new Set(versions.keys())
-    const rejected = rejectedVersions(this.#statuses.get(service))
+    const rejected = rejectedVersions(this.#statuses.find(service))
     const isServed = [...established].some(version => versions.has(version))
     if (!isServed) for (const version of versions.keys()) established.add(version)
     if (established.size > 0) this.#established.set(service, established)
@@ -301,14 +319,14 @@
   }
 
   #advance(order: RolloutOrder, storeNow: Milliseconds): void {
-    const status = this.#statuses.get(order.service)
+    const status = this.#statuses.find(order.service)
     const versions = this.options.upstreams.readyVersions(order.service)
     const targetUpstreams = versions.get(order.target) ?? 0
     if (this.isOnTrial(order.service, order.target)) {
       this.#judgeTarget(order, targetUpstreams)
       if (status) this.#assessTrial(order, status, targetUpstreams, storeNow)
     }
-    const next = decideRollout({
+    const decided = decideRollout({
       order,
       ...(status && { status }),
       storeNow,
@@ -317,6 +335,7 @@
       isTargetProbablyBad: this.#doubtfulServices.has(order.service),
       limit: this.options.exposureLimit(),
     })
+    const next = decided ?? this.#statuses.findUnwritten(order)?.state
     if (next === undefined) {
       this.#pendingSince.delete(order.service)
       return
@@ -381,19 +400,29 @@
     const { service, target } = order
     if (this.#writing.has(service)) return
     this.#writing.add(service)
-    const { store, log } = this.options
+    const { log, store } = this.options
     const orderedAt = this.#orderedAt.get(service) ?? storeNow
     const startedAt = status && belongsToOrder(status, order) ? status.startedAt : orderedAt
+    const rejected = rejectedVersions(status, order)
+    const next = { service, target, state, startedAt: Math.round(startedAt), rejected }
+    const storedAt = this.#statuses.storedAt(service)
     try {
-      const rejected = rejectedVersions(status, order)
-      const next = { service, target, state, startedAt, rejected }
-      const outcome = await store.writeRollout(next, status ?? { revision: 0 })
+      const outcome = await store.writeRollout(next, storedAt)
       log.event('rollout-written', { ...next, outcome })
-      this.mergeStatuses((await store.readRollouts()).value)
+      if (outcome === 'written') this.#recordWritten({ ...next, ...storedAt }, order)
+      this.mergeStoredStatuses(await store.readRollouts())
     } catch (error) {
       log.event('rollout-write-failed', { service, state, error: String(error) })
     } finally {
       this.#writing.delete(service)
     }
   }
+
+  /** Records a status that the store has acknowledged, in case that it loses it before a read. */
+  #recordWritten(status: RolloutStatus, written: RolloutOrder): void {
+    const order = this.#orderOf(status.service)
+    if (!order || !isSameOrder(written, order)) return
+    const isNews = this.#statuses.merge({ ...status, order: revisionOf(order) })
+    if (isNews) this.#recordStatusChange(status.service)
+  }
 }
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -166,7 +166,7 @@
     const isNewest = operators.apply(read.value)
     if (isNewest) operators.recordConfirmation(read.value.revision, readAt)
     this.options.onOperatorsRead()
-    if (read.value.orders.length > 0) rollouts.mergeStatuses((await store.readRollouts()).value)
+    if (read.value.orders.length > 0) rollouts.mergeStoredStatuses(await store.readRollouts())
     if (isFirst && !operators.index) return READER_RETRY_DELAY
     return isNewest ? 0 : this.#retryDelay()
   }
