A restored store no longer brings back upstreams that had left

Requests would be sent to upstreams that had said that they leave. Cause: once an upstream has left, its entry is forgotten; a copy from before it left lists it as ready again, and nobody writes that row any more until the store removes it for silence. Ruled out: ignoring all rows of the copy until they are written again: the others serve meanwhile. Ignoring by epoch alone: a live upstream writes its row again under the same name. Change: runs that one list of an epoch names and the next does not are remembered for a minute. In a later epoch such a run is not used if it was draining; otherwise until its row has a higher revision than when it was last listed, or has stood for 5 s, longer than the store keeps a silent one. What the first list of an epoch lacks has not ended. Before: with the exclusion taken out 2 of 2 new tests fail (all three upstreams used). After: both pass, with the tests of lists, rows and fleets. Conclusion: a box that starts after the restore knows no ended runs and uses such rows as before.

--- a/packages/gateway/src/tasks/upstreamListTask.ts
+++ b/packages/gateway/src/tasks/upstreamListTask.ts
@@ -2,15 +2,19 @@
   createUpstreamListState,
   dropMissing,
   epochOf,
+  excludeEndedRuns,
   hashText,
   isLaterRevision,
+  recordEndedRuns,
   recordListOutage,
   recordListRecovery,
   recordListRestore,
   returnGraceEnd,
   runIdOf,
+  STALE_ENTRY_LIFETIME,
   applyUpstreamList,
   type Clock,
+  type EndedRuns,
   type ListedUpstream,
   type Milliseconds,
   type StoreRevision,
@@ -47,7 +51,9 @@
   #fingerprint = NO_FINGERPRINT
   #point: StoreRevision = { revision: 0 }
   #listed: readonly ListedUpstream[] = []
+  readonly #ended: EndedRuns = new Map()
   #graceTimer: Timer | undefined
+  #staleTimer: Timer | undefined
 
   constructor(private readonly options: UpstreamListTaskOptions) {}
 
@@ -101,6 +107,9 @@
   apply(listed: readonly ListedUpstream[], point: StoreRevision): boolean {
     if (!this.accepts(point)) return false
     const isFirst = this.version === 0
+    // What a restored list lacks has not ended: it may have begun after the copy.
+    if (epochOf(point) === epochOf(this.#point))
+      recordEndedRuns(this.#ended, this.#listed, listed, this.options.clock.now())
     this.#advance(point)
     this.#listed = listed
     if (isFirst) this.#logFirstList()
@@ -124,12 +133,23 @@
 
   #applyList(isFirst: boolean): void {
     const { clock, isConfigured, onEntry, onGone } = this.options
-    const named = this.#listed.filter(({ service }) => isConfigured(service))
+    const current = excludeEndedRuns(this.#ended, this.#listed, clock.now())
+    if (current.length < this.#listed.length) this.#scheduleStaleEnd()
+    const named = current.filter(({ service }) => isConfigured(service))
     applyUpstreamList(this.#state, named, clock.now()).forEach(onGone)
     this.#scheduleGraceEnd()
     for (const entry of this.#state.entries.values()) onEntry(entry, isFirst)
   }
 
+  /** Uses entries that turn out not to be stale; after an unchanged list no further one may arrive. */
+  #scheduleStaleEnd(): void {
+    if (this.#staleTimer) return
+    this.#staleTimer = this.options.clock.after(STALE_ENTRY_LIFETIME, () => {
+      this.#staleTimer = undefined
+      this.reapply()
+    })
+  }
+
   /** Removes kept entries by a timer: after an unchanged list no further one may arrive. */
   #scheduleGraceEnd(): void {
     const endsAt = returnGraceEnd(this.#state)
--- a/packages/gateway/test/listRestore.test.ts
+++ b/packages/gateway/test/listRestore.test.ts
@@ -1,5 +1,10 @@
 import { expect } from 'chai'
-import { ManualClock, RETURN_GRACE, type ListedUpstream } from '@yewkeel/decisions'
+import {
+  ManualClock,
+  RETURN_GRACE,
+  STALE_ENTRY_LIFETIME,
+  type ListedUpstream,
+} from '@yewkeel/decisions'
 import {
   createGatewayMetrics,
   StoreReader,
@@ -136,4 +141,46 @@
     reader.takeList([listed('a'), listed('b')], { epoch: 2, revision: 40 })
     expect(ready()).to.eql(['a'])
   })
+
+  it('does not bring back an upstream that had left in the seconds that were lost', async () => {
+    const { clock, reader, ready } = createReader([
+      listed('a'),
+      listed('leaving', { state: 'draining' }),
+      listed('silent', { revision: 55 }),
+    ])
+    reader.takeList([listed('a')], { epoch: 1, revision: 70 })
+    const epoch = 2
+    const copied = [
+      listed('a', { epoch }),
+      listed('leaving', { epoch }),
+      listed('silent', { epoch, revision: 55 }),
+    ]
+    reader.takeList(copied, { epoch, revision: 40 })
+    expect(ready()).to.eql(['a'])
+    await clock.advance(STALE_ENTRY_LIFETIME - 1)
+    reader.takeList([listed('a', { epoch })], { epoch, revision: 41 })
+    await clock.advance(STALE_ENTRY_LIFETIME)
+    expect(ready()).to.eql(['a'])
+  })
+
+  it('brings back an upstream that had left as soon as it writes again, or stays listed', async () => {
+    const { clock, reader, ready } = createReader([
+      listed('a'),
+      listed('back', { revision: 55 }),
+      listed('stays', { revision: 55 }),
+    ])
+    reader.takeList([listed('a')], { epoch: 1, revision: 70 })
+    const epoch = 2
+    const list = (revision: number) => [
+      listed('a', { epoch }),
+      listed('back', { epoch, revision }),
+      listed('stays', { epoch, revision: 55 }),
+    ]
+    reader.takeList(list(55), { epoch, revision: 56 })
+    expect(ready()).to.eql(['a'])
+    reader.takeList(list(57), { epoch, revision: 57 })
+    expect(ready()).to.eql(['a', 'back'])
+    await clock.advance(STALE_ENTRY_LIFETIME)
+    expect(ready()).to.eql(['a', 'back', 'stays'])
+  })
 })
