--- a/packages/gateway/src/tasks/upstreamListTask.ts
+++ b/packages/gateway/src/tasks/upstreamListTask.ts
@@ -1,15 +1,23 @@
 import {
   createUpstreamListState,
   dropMissing,
+  epochOf,
+  excludeEndedRuns,
   hashText,
+  isLaterRevision,
+  recordEndedRuns,
   recordListOutage,
   recordListRecovery,
+  recordListRestore,
   returnGraceEnd,
   runIdOf,
+  STALE_ENTRY_LIFETIME,
   applyUpstreamList,
   type Clock,
+  type EndedRuns,
   type ListedUpstream,
   type Milliseconds,
+  type StoreRevision,
   type Timer,
 } from '@yewkeel/decisions'
 import type { EventLog } from '../types/ports.js'
@@ -35,15 +43,17 @@
 const NO_FINGERPRINT = -1
 
 /**
- * Holds the platform's list of upstreams and its version, and keeps lapsed entries for a grace
- * period after a store outage.
+ * Holds the platform's list of upstreams and its point in the history of the store, and keeps lapsed
+ * entries for a grace period after a store outage or restore.
  */
 export class UpstreamListTask {
   readonly #state = createUpstreamListState()
   #fingerprint = NO_FINGERPRINT
-  #version = 0
+  #point: StoreRevision = { revision: 0 }
   #listed: readonly ListedUpstream[] = []
+  readonly #ended: EndedRuns = new Map()
   #graceTimer: Timer | undefined
+  #staleTimer: Timer | undefined
 
   constructor(private readonly options: UpstreamListTaskOptions) {}
 
@@ -54,7 +64,12 @@
 
   /** The store's version at the last read or confirmation of the list; 0 before the first. */
   get version(): number {
-    return this.#version
+    return this.#point.revision
+  }
+
+  /** The store's epoch and version at the last read or confirmation of the list. */
+  get point(): StoreRevision {
+    return this.#point
   }
 
   /** The list as read from the store, without entries in their grace period. */
@@ -62,9 +77,14 @@
     return [...this.#listed]
   }
 
-  /** Confirms the list at a later version of the store. */
-  confirmVersion(version: number): void {
-    this.#version = Math.max(this.#version, version)
+  /** Confirms the list at a later point. */
+  confirmPoint(point: StoreRevision): void {
+    if (isLaterRevision(point, this.#point)) this.#advance(point)
+  }
+
+  /** Whether a list of this point is not older than the current one. */
+  accepts(point: StoreRevision): boolean {
+    return !isLaterRevision(this.#point, point)
   }
 
   /** Records a store outage: no box can have read the list for `age`. */
@@ -75,19 +95,22 @@
 
   /** Records that the list was confirmed, which ends an outage. */
   recordRecovery(): void {
-    if (this.#state.isStoreOut) this.options.log.event('list-back', { version: this.#version })
+    if (this.#state.isStoreOut)
+      this.options.log.event('list-back', { version: this.version, epoch: this.#point.epoch })
     recordListRecovery(this.#state, this.options.clock.now())
     this.#scheduleGraceEnd()
   }
 
   /**
-   * Replaces the list unless `version` is older. Returns whether its content differs from the last
-   * one.
+   * Replaces the list unless `point` is older. Returns whether its content differs from the last one.
    */
-  apply(listed: readonly ListedUpstream[], version: number): boolean {
-    if (version < this.#version) return false
-    const isFirst = this.#version === 0
-    this.#version = version
+  apply(listed: readonly ListedUpstream[], point: StoreRevision): boolean {
+    if (!this.accepts(point)) return false
+    const isFirst = this.version === 0
+    // What a restored list lacks has not ended: it may have begun after the copy.
+    if (epochOf(point) === epochOf(this.#point))
+      recordEndedRuns(this.#ended, this.#listed, listed, this.options.clock.now())
+    this.#advance(point)
     this.#listed = listed
     if (isFirst) this.#logFirstList()
     this.#applyList(isFirst)
@@ -98,17 +121,35 @@
 
   /** Applies the list again after a change of the configured services. */
   reapply(): void {
-    if (this.#version > 0) this.#applyList(false)
+    if (this.version > 0) this.#applyList(false)
+  }
+
+  /** A restored store lacks the entries of upstreams that started since the copy was made. */
+  #advance({ epoch, revision }: StoreRevision): void {
+    const isRestored = this.version > 0 && epochOf({ epoch }) > epochOf(this.#point)
+    if (isRestored) recordListRestore(this.#state, this.options.clock.now())
+    this.#point = { epoch, revision }
   }
 
   #applyList(isFirst: boolean): void {
     const { clock, isConfigured, onEntry, onGone } = this.options
-    const named = this.#listed.filter(({ service }) => isConfigured(service))
+    const current = excludeEndedRuns(this.#ended, this.#listed, clock.now())
+    if (current.length < this.#listed.length) this.#scheduleStaleEnd()
+    const named = current.filter(({ service }) => isConfigured(service))
     applyUpstreamList(this.#state, named, clock.now()).forEach(onGone)
     this.#scheduleGraceEnd()
     for (const entry of this.#state.entries.values()) onEntry(entry, isFirst)
   }
 
+  /** Uses entries that turn out not to be stale; after an unchanged list no further one may arrive. */
+  #scheduleStaleEnd(): void {
+    if (this.#staleTimer) return
+    this.#staleTimer = this.options.clock.after(STALE_ENTRY_LIFETIME, () => {
+      this.#staleTimer = undefined
+      this.reapply()
+    })
+  }
+
   /** Removes kept entries by a timer: after an unchanged list no further one may arrive. */
   #scheduleGraceEnd(): void {
     const endsAt = returnGraceEnd(this.#state)
@@ -130,7 +171,8 @@
     const upstreams = this.#listed.map(({ id, service, version, address, state }) =>
       [id, service, version, address, state].join(' '),
     )
-    this.options.log.event('upstreams-listed', { version: this.#version, upstreams })
+    const { epoch, revision } = this.#point
+    this.options.log.event('upstreams-listed', { version: revision, epoch, upstreams })
   }
 }
 
