--- a/packages/decisions/src/rollouts/rollout.ts
+++ b/packages/decisions/src/rollouts/rollout.ts
@@ -1,19 +1,28 @@
-import type { StoreRevision } from '../freshness/storeRevision.js'
+import {
+  compareRevisions,
+  epochOf,
+  isLaterRevision,
+  type StoreRevision,
+} from '../freshness/storeRevision.js'
 import type { Milliseconds } from '../types/clock.js'
 
-/** An operator's order to roll out a version: to move a service's traffic to it. */
+/**
+ * An operator's order to roll out a version: to move a service's traffic to it. As a revision, it
+ * is that of the order's row; a later order has a later one.
+ */
 export interface RolloutOrder extends StoreRevision {
   service: string
   target: string
   /** Time in which the rollout is to be completed. */
   duration: Milliseconds
-  /** Store revision of the order's row; a later order has a higher one. */
-  revision: number
 }
 
 export type RolloutState = 'active' | 'completed' | 'rolled-back'
 
-/** Progress of a rollout, as stored and read by all boxes. */
+/**
+ * Progress of a rollout, as stored and read by all boxes. As a revision, it is that of the status
+ * row, for compare-and-swap.
+ */
 export interface RolloutStatus extends StoreRevision {
   service: string
   target: string
@@ -25,13 +34,35 @@
    * some seconds.
    */
   rejected?: readonly string[]
-  /** Store revision of the status row, for compare-and-swap. */
-  revision: number
+  /**
+   * The order that it belongs to. Set if the store lost this status, so that the revisions do not
+   * show it.
+   */
+  order?: StoreRevision
+}
+
+/**
+ * Whether an order that was read is the known one. In a later epoch of the store it may have another
+ * revision, since the operator writes again what was lost.
+ */
+export function isSameOrder(known: RolloutOrder, read: RolloutOrder): boolean {
+  if (epochOf(read) <= epochOf(known)) return compareRevisions(known, read) === 0
+  return isEqualOrder(known, read)
+}
+
+function isEqualOrder(left: RolloutOrder, right: RolloutOrder): boolean {
+  return (
+    left.service === right.service &&
+    left.target === right.target &&
+    left.duration === right.duration
+  )
 }
 
 /** Whether the status belongs to this order, not to an earlier one. */
 export function belongsToOrder(status: RolloutStatus | undefined, order: RolloutOrder): boolean {
-  return status !== undefined && status.target === order.target && status.revision > order.revision
+  if (status?.target !== order.target) return false
+  if (status.order) return compareRevisions(status.order, order) === 0
+  return isLaterRevision(status, order)
 }
 
 /** Whether the rollout was completed or rolled back. */
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -239,7 +239,7 @@
     this.#recordAnswer(read)
     const isNewest = operators.apply(read.value, readAt)
     this.options.onOperatorsRead()
-    if (read.value.orders.length > 0) rollouts.mergeStatuses((await store.readRollouts()).value)
+    if (read.value.orders.length > 0) rollouts.mergeStoredStatuses(await store.readRollouts())
     if (isFirst && !operators.index) return READER_RETRY_DELAY
     return isNewest ? 0 : this.#retryDelay(1)
   }
