Write the boxes' entries again that a restored store has lost

Callers saw: nothing yet; found by reading. After a restore, boxes that had registered in the lost seconds were unknown to each box that started, and to budgets by number of boxes, for up to a minute; boxes that had been removed were back. Ruled out: each box checks at a random moment: with 195 boxes that is 195 reads of the table, and each call is priced. Messages of who has done it: the leader is known by rank, which heeds who reaches the store.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -15,6 +15,7 @@
 import { EngineWork } from './tasks/engineWork.js'
 import { EpochWatch } from './tasks/epochWatch.js'
 import { EntryTask } from './tasks/entryTask.js'
+import { LostRowsTask } from './tasks/lostRowsTask.js'
 import { OperatorTask } from './tasks/operatorTask.js'
 import { PauseWatch } from './tasks/pauseWatch.js'
 import { PeerTask } from './tasks/peerTask.js'
@@ -207,7 +208,7 @@
     onVerdict: announce,
     onBadAnswer: announceBadAnswer,
   })
-  const epochs = new EpochWatch({ log, onEpoch() {} })
+  const epochs = new EpochWatch({ log, onEpoch: () => lostRows.onStoreRestored() })
   const reader = new StoreReader({
     clock,
     log,
@@ -403,6 +404,13 @@
     removesSilentEntries: () => rank() === 0,
     silentEntries: () => peers.silentEntries(),
     onEntries: known => peers.replaceEntries(known),
+    liveEntries: () => peers.live().map(({ entry }) => entry),
+  })
+  const lostRows = new LostRowsTask({
+    clock,
+    log,
+    isLeader: () => state === 'serving' && rank() === 0,
+    rows: { boxes: entries },
   })
 
   return {
@@ -450,6 +458,7 @@
     },
     async stop() {
       entries.stop()
+      lostRows.stop()
       for (const timer of timers) timer.cancel()
       reader.stop()
       quarantine.stop()
--- a/packages/gateway/src/tasks/entryTask.ts
+++ b/packages/gateway/src/tasks/entryTask.ts
@@ -14,6 +14,8 @@
   /** Names of registered boxes that have been silent for long. */
   silentEntries(): string[]
   onEntries(entries: readonly BoxEntry[]): void
+  /** Entries of the other boxes that are alive. */
+  liveEntries(): readonly BoxEntry[]
 }
 
 /** How often the first box removes the entries of silent boxes. */
@@ -82,15 +84,30 @@
     this.#readAt = clock.now()
     onEntries(entries)
     const others = entries.filter(({ box }) => box !== self.box)
-    const isRegistered = entries.some(({ box, peerAddress }) => isSelf(self, box, peerAddress))
+    const isRegistered = entries.some(entry => isSameBox(self, entry))
     if (!isRegistered) await this.#writeEntry()
     await this.#removeSilentEntries(entries)
     return others.length
   }
 
   async #writeEntry(): Promise<void> {
-    const { box, dataCentre, entryAddress, peerAddress } = this.options.self
-    await this.options.store.writeBox({ box, dataCentre, entryAddress, peerAddress })
+    await this.options.store.writeBox(entryOf(this.options.self))
+  }
+
+  /**
+   * Writes the entries of all live boxes that a restored store lacks, and removes those of silent
+   * boxes that it has again. Returns the number of entries written.
+   */
+  async writeLost(): Promise<number> {
+    const { store, self, liveEntries, onEntries } = this.options
+    const entries = await store.readBoxes()
+    const live = [entryOf(self), ...liveEntries().map(entryOf)]
+    const lost = live.filter(known => !entries.some(entry => isSameBox(known, entry)))
+    const names = new Set(lost.map(({ box }) => box))
+    onEntries([...entries.filter(({ box }) => !names.has(box)), ...lost])
+    if (lost.length > 0) await store.writeBoxes(lost)
+    await this.#removeSilentEntries(entries)
+    return lost.length
   }
 
   async #removeSilentEntries(entries: readonly BoxEntry[]): Promise<void> {
@@ -104,6 +121,11 @@
   }
 }
 
-function isSelf(self: PeerIdentity, box: string, peerAddress: string): boolean {
-  return box === self.box && peerAddress === self.peerAddress
+/** Whether both entries are of the same run of a box. */
+function isSameBox(left: BoxEntry, right: BoxEntry): boolean {
+  return left.box === right.box && left.peerAddress === right.peerAddress
+}
+
+function entryOf({ box, dataCentre, entryAddress, peerAddress }: BoxEntry): BoxEntry {
+  return { box, dataCentre, entryAddress, peerAddress }
 }
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -71,6 +71,8 @@
   ): Promise<WriteOutcome>
   readBoxes(): Promise<readonly BoxEntry[]>
   writeBox(entry: BoxEntry): Promise<void>
+  /** Writes several entries in as few calls as possible. */
+  writeBoxes(entries: readonly BoxEntry[]): Promise<void>
   removeBoxes(boxes: readonly string[]): Promise<void>
   readQuarantined(): Promise<readonly QuarantineEntry[]>
   writeQuarantined(entry: QuarantineEntry): Promise<void>
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -158,6 +158,8 @@
       writeRollout: (status, expected) => call(() => writeRollout(status, expected)),
       readBoxes: () => call(() => [...store.entries.values()]),
       writeBox: entry => call(() => void store.entries.set(entry.box, entry)),
+      writeBoxes: entries =>
+        call(() => entries.forEach(entry => store.entries.set(entry.box, entry))),
       removeBoxes: names => call(() => names.forEach(name => store.entries.delete(name))),
       readQuarantined: () => call(() => [...store.condemned.values()]),
       writeQuarantined: entry => call(() => void store.condemned.set(entry.request, entry)),
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -211,6 +211,7 @@
     writeRollout: () => Promise.resolve('written'),
     readBoxes: () => Promise.resolve([]),
     writeBox: () => Promise.resolve(),
+    writeBoxes: () => Promise.resolve(),
     removeBoxes: () => Promise.resolve(),
     readQuarantined: () => Promise.resolve([]),
     writeQuarantined: () => Promise.resolve(),
