Write quarantined requests again that a restored store has lost

Callers saw: nothing yet; found by reading. A request that crashes its upstreams was quarantined in the lost seconds; after a restart of all boxes it would have been served, and crashed upstreams, again. Ruled out: each box writes what it knows, a call for each; the leader knows all of them by gossip. Change: on a restore the leader, if it knows any, reads the stored ones once and writes those that are missing, as it read or wrote them; of others' it does not know organisation, route and upstreams, which are there for operators alone. Conclusion: done. Rows of requests whose quarantine had ended in the lost seconds come back; they end again, ten minutes after boxes read them.

--- a/packages/box/src/tasks/crashSuspects.ts
+++ b/packages/box/src/tasks/crashSuspects.ts
@@ -240,6 +240,16 @@
     this.options.broadcast(this.merge(news))
   }
 
+  /** The requests that are quarantined now. */
+  quarantined(): Pick<QuarantineEntry, 'request' | 'crashes' | 'upstreams'>[] {
+    const current = this.#suspects
+      .all()
+      .flatMap(({ request }) => this.#suspects.find(request) ?? [])
+    return current
+      .filter(({ isCondemned }) => isCondemned)
+      .map(({ request, crashes, upstreams }) => ({ request, crashes, upstreams }))
+  }
+
   /** Merges updates of another box. Returns those that changed anything, to be relayed. */
   merge(news: readonly SuspectUpdate[]): SuspectUpdate[] {
     return news.filter(update => this.#mergeUpdate(update))
--- a/packages/box/src/types/suspects.ts
+++ b/packages/box/src/types/suspects.ts
@@ -29,7 +29,7 @@
   crashes: number
   /** Sender, for operators. */
   organisation?: string
-  /** Where it was sent to, for operators. */
+  /** Where it was sent to, for operators; empty if the box that wrote the entry does not know. */
   route: string
   /** Upstream processes that crashed with it in flight, as known to the box that quarantined it. */
   upstreams: string[]
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -410,7 +410,7 @@
     clock,
     log,
     isLeader: () => state === 'serving' && rank() === 0,
-    rows: { boxes: entries },
+    rows: { boxes: entries, quarantine },
   })
 
   return {
--- a/packages/gateway/src/tasks/entryTask.ts
+++ b/packages/gateway/src/tasks/entryTask.ts
@@ -1,5 +1,6 @@
 import type { PeerIdentity } from '@yewkeel/box'
 import type { Clock, Milliseconds, Timer } from '@yewkeel/decisions'
+import type { OwnRows } from './lostRowsTask.js'
 import type { BoxEntry, EventLog, Store } from '../types/ports.js'
 
 export interface EntryTaskOptions {
@@ -27,7 +28,7 @@
 const MAX_BACKOFF: Milliseconds = 3_000
 
 /** Registers the box in the store and reads the entries of the others. */
-export class EntryTask {
+export class EntryTask implements OwnRows {
   #hasEntry = false
   #delay = INITIAL_BACKOFF
   #readAt = -Infinity
--- a/packages/gateway/src/tasks/quarantineTask.ts
+++ b/packages/gateway/src/tasks/quarantineTask.ts
@@ -1,6 +1,7 @@
 import { every } from '@yewkeel/box'
 import { sleep, type Clock, type Milliseconds, type Timer } from '@yewkeel/decisions'
 import type { EventLog, Store } from '../types/ports.js'
+import type { OwnRows } from './lostRowsTask.js'
 import type { QuarantineEntry } from '@yewkeel/box'
 import type { CrashSuspects } from '@yewkeel/box'
 
@@ -33,9 +34,11 @@
  * them when all boxes restart at once. A starting box receives them from its neighbours; only if
  * none has them do the readers read the store.
  */
-export class QuarantineTask {
+export class QuarantineTask implements OwnRows {
   /** Whether this box has all entries from before it started. */
   isComplete: boolean
+  /** Entries that this box has written or read, with what only they state. */
+  readonly #entries = new Map<string, QuarantineEntry>()
   #expiryTimer: Timer | undefined
   #isStopped = false
 
@@ -63,6 +66,7 @@
       try {
         const entries = await store.readQuarantined()
         suspects.addQuarantined(entries)
+        for (const entry of entries) this.#entries.set(entry.request, entry)
         if (entries.length > 0) log.event('condemned-read', { requests: entries.length })
         this.isComplete = true
       } catch (error) {
@@ -77,6 +81,7 @@
    */
   async write(entry: QuarantineEntry): Promise<void> {
     const { clock, log, store } = this.options
+    this.#entries.set(entry.request, entry)
     for (let tried = 1; tried <= MAX_WRITE_ATTEMPTS; tried++) {
       try {
         await store.writeQuarantined(entry)
@@ -88,9 +93,23 @@
     }
   }
 
+  /** Writes the entries again that a restored store lacks. Returns their number. */
+  async writeLost(): Promise<number> {
+    const { store, suspects } = this.options
+    const known = suspects.quarantined()
+    if (known.length === 0) return 0
+    const stored = new Set((await store.readQuarantined()).map(({ request }) => request))
+    const lost = known.filter(({ request }) => !stored.has(request))
+    for (const entry of lost)
+      await store.writeQuarantined(this.#entries.get(entry.request) ?? { ...entry, route: '' })
+    return lost.length
+  }
+
   async #removeExpired(): Promise<void> {
     const { log, store, suspects, isReader } = this.options
     const expired = suspects.removeExpired()
+    for (const request of this.#entries.keys())
+      if (!suspects.find(request).isCondemned) this.#entries.delete(request)
     if (expired.length === 0) return
     log.event('condemned-lapsed', { requests: expired })
     if (!isReader()) return
--- a/packages/gateway/test/lostRows.test.ts
+++ b/packages/gateway/test/lostRows.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import type { Milliseconds } from '@yewkeel/decisions'
+import type { QuarantineEntry } from '../src/index.js'
 import { createFleet, type Fleet } from './testFleet.js'
 
 const DATA_CENTRES = ['alesund', 'bergen', 'maloy']
@@ -84,3 +85,41 @@
     expect(fleet.store.entries).to.eql(entries)
   })
 })
+
+describe('quarantined requests that a restored store has lost', () => {
+  const ENTRY: QuarantineEntry = {
+    request: 'digest-1',
+    crashes: 3,
+    organisation: 'belle-mare',
+    route: 'chat',
+    upstreams: ['i-1', 'i-2', 'i-3'],
+  }
+  let fleet: Fleet
+  afterEach(() => fleet.stop())
+
+  it('are written again once, as they were read', async () => {
+    fleet = await startFleet(6)
+    fleet.store.condemned.set(ENTRY.request, ENTRY)
+    await fleet.restart(fleet.boxes)
+    await fleet.clock.advance(10_000)
+    restore(fleet)
+    fleet.store.condemned.clear()
+    await fleet.clock.advance(REWRITE_TIMEOUT)
+    expect([...fleet.store.condemned.values()]).to.eql([ENTRY])
+    const written = fleet.eventLog.filter(({ event }) => event === 'lost-rows-written')
+    expect(written).to.have.length(2)
+  })
+
+  it('are written again if the box that quarantined them is gone', async () => {
+    fleet = await startFleet(6)
+    const [last] = fleet.boxes.slice(-1)
+    last!.gateway.services.suspects.addQuarantined([ENTRY])
+    await fleet.clock.advance(1_000)
+    await last!.gateway.stop()
+    restore(fleet)
+    await fleet.clock.advance(REWRITE_TIMEOUT)
+    expect([...fleet.store.condemned.values()]).to.eql([
+      { request: ENTRY.request, crashes: ENTRY.crashes, route: '', upstreams: [] },
+    ])
+  })
+})
