The soak's store comes back from a copy, in seeds from 470 on

The soak could not see it. Cause of that: its store kept all it had acknowledged. Ruled out: a kind among the others; it would change the faults drawn for every known seed. It has a plan of its own, as crashes and advertisements have. An excuse as for other faults; it would cover the four seconds in which the fault shows. It excuses late routes and drains only by the time that the store was away, and a key that still works by nothing.

--- a/packages/soak/src/checks/guarantees.ts
+++ b/packages/soak/src/checks/guarantees.ts
@@ -8,6 +8,8 @@
   affectsBoxes,
   FAULT_SETTLE_DURATION,
   SCHEDULING_TOLERANCE,
+  STORE_RETURNS,
+  storeAbsence,
   type GuaranteeCheck,
 } from './tolerances.js'
 import type { Arrival, Evidence, ObservedRollout } from './evidence.js'
@@ -78,11 +80,12 @@
       return attemptsOf(evidence)
         .filter(
           ({ kind, sentAt }) =>
-            kind !== 'streaming' && sentAt > at + newsWithin + SCHEDULING_TOLERANCE,
+            kind !== 'streaming' && sentAt - at > newsBound(evidence, newsWithin, at, sentAt),
         )
         .filter(
           ({ sentAt, box }) =>
-            sentAt < next && evidence.isFaultFree(box, at - FAULT_SETTLE_DURATION, sentAt),
+            sentAt < next &&
+            evidence.isFaultFree(box, at - FAULT_SETTLE_DURATION, sentAt, delaysNews),
         )
         .filter(({ id }) =>
           executionsOf(evidence, id).some(execution => execution.service === previousService),
@@ -98,12 +101,14 @@
       evidence.arrivals
         .filter(
           arrival =>
-            arrival.instance === instance && arrival.at > at + newsWithin + SCHEDULING_TOLERANCE,
+            arrival.instance === instance &&
+            arrival.at - at > newsBound(evidence, newsWithin, at, arrival.at),
         )
         .filter(arrival => {
           const attempt = evidence.attempts.get(arrival.id)
           return (
-            attempt && evidence.isFaultFree(attempt.box, at - FAULT_SETTLE_DURATION, arrival.at)
+            attempt &&
+            evidence.isFaultFree(attempt.box, at - FAULT_SETTLE_DURATION, arrival.at, delaysNews)
           )
         })
         .map(
@@ -225,6 +230,19 @@
       .map(({ id, kind }) => `${kind} ${id} was held to crash upstreams`),
 }
 
+/** Whether a kind of fault excuses late news. A return of the store excuses its absence alone. */
+const delaysNews = (kind: string) => kind !== STORE_RETURNS
+
+/** How long after `at` a change may still not be known at `until`. */
+function newsBound(
+  evidence: Evidence,
+  newsWithin: Milliseconds,
+  at: Milliseconds,
+  until: Milliseconds,
+): Milliseconds {
+  return newsWithin + SCHEDULING_TOLERANCE + storeAbsence(evidence, at, until)
+}
+
 /** Crashes after which all boxes must quarantine a request. */
 const CRASHES_BEFORE_QUARANTINE = 3
 /** Time between the last of these crashes and the quarantine by all boxes. */
--- a/packages/soak/src/checks/tolerances.ts
+++ b/packages/soak/src/checks/tolerances.ts
@@ -11,5 +11,18 @@
  * callers' links can't.
  */
 export const affectsBoxes = (kind: string) => !kind.startsWith('upstream') && kind !== 'caller-link'
+/** The kind of the faults in which the store comes back from a copy. */
+export const STORE_RETURNS = 'store-returns'
+/** Time that the store was away between `from` and `until` before it came back from a copy. */
+export function storeAbsence(
+  { faults }: Evidence,
+  from: Milliseconds,
+  until: Milliseconds,
+): Milliseconds {
+  return faults
+    .filter(({ kind }) => kind === STORE_RETURNS)
+    .map(fault => Math.min(fault.until, until) - Math.max(fault.from, from))
+    .reduce((total, overlap) => total + Math.max(0, overlap), 0)
+}
 /** Returns one message for each violation of a guarantee. */
 export type GuaranteeCheck = (evidence: Evidence, bounds: DeploymentBounds) => string[]
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util'
 import {
   CONFIGURATION_ROW,
   startRowsStandIn,
@@ -25,6 +26,7 @@
   Advertisements,
   type PlannedAdvertisement,
 } from './world/advertisements.js'
+import { planStoreReturns, StoreReturns, type PlannedStoreReturn } from './world/storeReturns.js'
 import { Upstreams } from './world/upstreams.js'
 
 export interface SeedOptions {
@@ -45,6 +47,8 @@
   crashes?: PlannedCrashes
   /** Replaces the advertisements of upstreams planned for the seed. */
   advertisements?: readonly PlannedAdvertisement[]
+  /** Replaces the returns of the store from a copy planned for the seed. */
+  storeReturns?: readonly PlannedStoreReturn[]
 }
 
 export interface SeedResult {
@@ -107,6 +111,17 @@
     evidence,
     now,
   })
+  const storeReturns = new StoreReturns({
+    planned: options.storeReturns ?? planStoreReturns(seed, seconds),
+    rows,
+    evidence,
+    now,
+    writeLostOperatorRows() {
+      operators.writeLostRows()
+      rollout?.writeLostOrder()
+    },
+    writeUpstreamRows: () => upstreams.writeRowsAgain(),
+  })
   const rollout = planned && new Rollout({ planned, rows, upstreams, evidence, now })
   try {
     callers.start()
@@ -114,11 +129,13 @@
     await rollout?.start()
     crashes?.start()
     advertisements.start()
+    storeReturns.start()
     await injectFaults(plan, { boxes, upstreams, rows, random, ...operators }, evidence, now)
     evidence.faultsEndedAt = now()
     await sleep(FAULT_FREE_MS)
     crashes?.stop()
     advertisements.stop()
+    storeReturns.stop()
     rollout?.stop()
     await callers.stop()
     evidence.finalInstances = new Set(upstreams.slots.map(({ standIn }) => standIn.instance))
@@ -208,6 +225,12 @@
   const write = () => rows.put(...CONFIGURATION_ROW, writeConfiguration(++version, [key], service))
   write()
   return {
+    /** Writes the configuration again if the store has lost it. */
+    writeLostRows() {
+      const content = writeConfiguration(version, [key], service)
+      if (!isDeepStrictEqual(rows.read(...CONFIGURATION_ROW), content))
+        rows.put(...CONFIGURATION_ROW, content)
+    },
     pickKey: (random: Random) =>
       revoked.length > 0 && random() < REVOKED_KEY_FRACTION
         ? revoked[Math.floor(random() * revoked.length)]!
--- a/packages/soak/src/world/rollout.ts
+++ b/packages/soak/src/world/rollout.ts
@@ -1,4 +1,5 @@
 import {
+  hasRolloutOrder,
   readRolloutState,
   writeRollout,
   type RowsStandIn,
@@ -108,6 +109,13 @@
     this.#timer = setInterval(() => this.#poll(observed), POLL_INTERVAL_MS)
   }
 
+  /** Orders the rollout again if a restored store has lost the order. */
+  writeLostOrder(): void {
+    const { planned, rows, evidence } = this.options
+    if (!evidence.rollout || hasRolloutOrder(rows, planned.service)) return
+    writeRollout(rows, planned.service, TARGET, planned.duration)
+  }
+
   #poll(observed: ObservedRollout): void {
     const { rows, upstreams } = this.options
     const { service, target } = observed
--- a/packages/soak/src/world/upstreams.ts
+++ b/packages/soak/src/world/upstreams.ts
@@ -44,6 +44,9 @@
   #instanceCount = 0
   #sequence = 0
   readonly #down = new Set<UpstreamSlot>()
+  /** Upstreams that have announced in their rows that they drain, by instance. */
+  readonly #draining = new Map<string, object>()
+  readonly #ended = new Set<string>()
   #isClosed = false
 
   constructor(private readonly options: UpstreamsOptions) {
@@ -65,7 +68,7 @@
     const crashed = slot.standIn
     crashed.crash()
     slot.standIn = await this.#startSuccessor(slot)
-    this.options.rows.remove(UPSTREAMS_TABLE, crashed.instance)
+    this.#removeRow(crashed)
     this.#writeRow(slot, 'ready')
   }
 
@@ -80,7 +83,7 @@
     if (this.#isClosed) return
     slot.standIn = await this.#startSuccessor(slot)
     slot.proxy = await startLoopbackProxy(this.options.host, () => slot.standIn.address)
-    this.options.rows.remove(UPSTREAMS_TABLE, crashed.instance)
+    this.#removeRow(crashed)
     this.#down.delete(slot)
     this.#writeRow(slot, 'ready')
   }
@@ -106,11 +109,10 @@
     const { rows, evidence, now } = this.options
     const draining = slot.standIn
     const proxy = await startLoopbackProxy(this.options.host, () => draining.address)
-    rows.put(
-      UPSTREAMS_TABLE,
-      draining.instance,
-      writeUpstream(slot.service, slot.version, proxy.address, 'draining', ++this.#sequence),
-    )
+    const { service, version } = slot
+    const row = writeUpstream(service, version, proxy.address, 'draining', ++this.#sequence)
+    rows.put(UPSTREAMS_TABLE, draining.instance, row)
+    this.#draining.set(draining.instance, row)
     evidence.drains.push({ instance: draining.instance, at: now() })
     await this.#handOver(slot, proxy)
   }
@@ -131,7 +133,7 @@
     slot.standIn = await this.#startSuccessor(slot)
     this.#writeRow(slot, 'ready')
     setTimeout(() => {
-      this.options.rows.remove(UPSTREAMS_TABLE, draining.instance)
+      this.#removeRow(draining)
       draining.crash()
       proxy.close()
     }, DRAIN_DURATION_MS)
@@ -143,7 +145,7 @@
     const removed = this.slots.filter(isRemoved)
     this.slots.splice(0, Infinity, ...this.slots.filter(slot => !isRemoved(slot)))
     for (const { standIn, proxy } of removed) {
-      this.options.rows.remove(UPSTREAMS_TABLE, standIn.instance)
+      this.#removeRow(standIn)
       standIn.crash()
       proxy.close()
     }
@@ -180,6 +182,20 @@
     return standIn
   }
 
+  /** Writes the rows of a restored store again, and removes those of upstreams that have ended. */
+  writeRowsAgain(): void {
+    const { rows } = this.options
+    for (const instance of this.#ended) rows.remove(UPSTREAMS_TABLE, instance)
+    for (const [instance, row] of this.#draining) rows.put(UPSTREAMS_TABLE, instance, row)
+    this.#writeRows()
+  }
+
+  #removeRow({ instance }: ServiceStandIn): void {
+    this.#draining.delete(instance)
+    this.#ended.add(instance)
+    this.options.rows.remove(UPSTREAMS_TABLE, instance)
+  }
+
   #writeRows(): void {
     for (const slot of this.slots) if (!this.#down.has(slot)) this.#writeRow(slot, 'ready')
   }
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -5,6 +5,7 @@
   Evidence,
   findViolations,
   planFaults,
+  planStoreReturns,
   runSeed,
   type Attempt,
   type PlannedCrashes,
@@ -102,6 +103,23 @@
     expect(violatedGuarantees(evidence)).to.deep.equal(['revoked-keys'])
   })
 
+  it('excuses late news by a return of the store only as long as the store was away', () => {
+    const violations = (change: (evidence: Evidence, at: number) => void, at: number) => {
+      const evidence = evidenceOf(attemptWith(), 1)
+      evidence.faults.push({ kind: 'store-returns', from: 7_000, until: 7_900 })
+      change(evidence, at)
+      return violatedGuarantees(evidence)
+    }
+    const moveRoute = (evidence: Evidence, at: number) =>
+      void evidence.routeMoves.push({ service: 'desk-2', previousService: 'desk', at })
+    const drain = (evidence: Evidence, at: number) =>
+      void evidence.drains.push({ instance: 'i-1', at })
+    expect(violations(moveRoute, 6_300)).to.deep.equal(['configuration'])
+    expect(violations(moveRoute, 6_500)).to.deep.equal([])
+    expect(violations(drain, 6_300)).to.deep.equal(['draining'])
+    expect(violations(drain, 6_500)).to.deep.equal([])
+  })
+
   it('enforces the answer deadline only while the box has no fault', () => {
     const evidence = evidenceOf(attemptWith({ end: { ...attemptWith().end!, at: 14_000 } }), 1)
     expect(violatedGuarantees(evidence)).to.deep.equal(['answered'])
@@ -154,6 +172,14 @@
   })
 })
 
+describe('planStoreReturns', () => {
+  it('plans none for seeds that failed before there were any, and one or two for later ones', () => {
+    expect(planStoreReturns(427, 8)).to.deep.equal([])
+    const counts = Array.from({ length: 40 }, (_, index) => planStoreReturns(470 + index, 8).length)
+    expect(new Set(counts)).to.deep.equal(new Set([1, 2]))
+  })
+})
+
 describe('createOrderedDelay', () => {
   it('runs work in the order of submission when the delay drops to zero', async () => {
     for (let round = 0; round < 20; round++) {
