--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -13,6 +13,7 @@
 import { StallWatch } from './requests/stallWatch.js'
 import { QuarantineTask } from './tasks/quarantineTask.js'
 import { EngineWork } from './tasks/engineWork.js'
+import { EpochWatch } from './tasks/epochWatch.js'
 import { EntryTask } from './tasks/entryTask.js'
 import { OperatorTask } from './tasks/operatorTask.js'
 import { PauseWatch } from './tasks/pauseWatch.js'
@@ -73,6 +74,8 @@
   reload(limits: GatewayLimits): void
   /** Starts draining: the box announces that it leaves and is no longer ready, but still serves. */
   startDraining(): void
+  /** Answers the requests that are still being forwarded; a stream that has begun is aborted. */
+  endRequests(): void
   stop(): Promise<void>
 }
 
@@ -204,6 +207,7 @@
     onVerdict: announce,
     onBadAnswer: announceBadAnswer,
   })
+  const epochs = new EpochWatch({ log, onEpoch() {} })
   const reader = new StoreReader({
     clock,
     log,
@@ -212,6 +216,7 @@
     operators,
     upstreams: upstreams.list,
     rollouts,
+    epochs,
     isReader,
     boxCount: () => services.boxCount(),
     onStoreChange: announce,
@@ -230,45 +235,37 @@
         isStoreLost: reader.isStoreOut,
         answers: rollouts.answers,
       },
-      ...(operators.state.revision > 0 && {
-        operators: {
-          revision: operators.state.revision,
-          fingerprint: operators.state.fingerprint,
-          age: operators.age,
-        },
-      }),
+      ...(operators.state.revision > 0 && { operators: operators.proof }),
       ...(upstreams.list.version > 0 && {
         upstreams: {
-          revision: upstreams.list.version,
+          ...upstreams.list.point,
           fingerprint: upstreams.list.fingerprint,
           age: reader.listAge,
         },
       }),
       rollouts: rollouts.statuses,
       verdicts: rollouts.verdicts,
-      ...(rollouts.storeNow !== undefined && { storeNow: rollouts.storeNow }),
+      ...(rollouts.storeNow !== undefined && {
+        storeNow: rollouts.storeNow,
+        storeEpoch: rollouts.storeClock.epoch,
+      }),
     }),
-    onOperatorsProved({ revision, fingerprint }, provedAt) {
-      if (fingerprint !== operators.state.fingerprint)
-        return revision > operators.state.revision ? 'wanted' : 'known'
-      operators.recordConfirmation(revision, provedAt)
-      return 'known'
+    onOperatorsProved(proof, provedAt) {
+      epochs.record(proof)
+      return operators.applyProof(proof, provedAt)
     },
-    onUpstreamsProved({ revision, fingerprint }, provedAt) {
-      if (fingerprint !== upstreams.list.fingerprint)
-        return revision > upstreams.list.version ? 'wanted' : 'known'
-      upstreams.list.confirmVersion(revision)
-      reader.confirmList(provedAt)
-      return 'known'
+    onUpstreamsProved(proof, provedAt) {
+      epochs.record(proof)
+      return reader.applyListProof(proof, provedAt)
     },
-    onOperators(next) {
-      const before = operators.state.fingerprint
-      operators.apply(next)
-      if (operators.state.fingerprint !== before) announce()
+    onOperators(next, provedAt) {
+      const { fingerprint, configuration } = operators.state
+      operators.apply(next, provedAt)
+      const { state: current } = operators
+      if (current.fingerprint !== fingerprint || current.configuration !== configuration) announce()
     },
-    onUpstreams(entries, version, provedAt) {
-      if (provedAt !== undefined) reader.confirmList(provedAt)
-      if (upstreams.list.apply(entries, version)) announce()
+    onUpstreams(listed, point, provedAt) {
+      if (reader.takeList(listed, point, provedAt)) announce()
     },
     onUpstreamsGone: runs => runs.filter(run => upstreams.markReplaced(run)),
     onRollouts: statuses => rollouts.mergeStatuses(statuses),
@@ -277,8 +274,8 @@
     onWorkSums: entries => work.recordDataCentreWork(entries),
     onWorkRole: () => work.changeRole(),
     currentWork: () => work.all(),
-    onStoreClock: (storeNow, at) => rollouts.updateStoreClock(storeNow, at),
-    currentOperators: () => operators.state,
+    onStoreClock: (storeNow, at, epoch) => rollouts.updateStoreClock(storeNow, at, epoch),
+    currentOperators,
     currentUpstreams,
     onSuspects(entries, isComplete) {
       quarantine.isComplete ||= isComplete
@@ -289,10 +286,20 @@
     currentSuspects: () => ({ entries: suspects.updates(), isComplete: quarantine.isComplete }),
   })
 
+  function currentOperators() {
+    const { state: current, age } = operators
+    return { state: current, ...(Number.isFinite(age) && { age }) }
+  }
+
   function currentUpstreams() {
-    const { version, listed } = upstreams.list
+    const { point, listed } = upstreams.list
     const age = reader.listAge
-    return { version, entries: listed, ...(Number.isFinite(age) && { age }) }
+    return {
+      version: point.revision,
+      epoch: point.epoch,
+      entries: listed,
+      ...(Number.isFinite(age) && { age }),
+    }
   }
 
   /** Switches to serving once the configuration and the list of upstreams are known. */
@@ -353,6 +360,7 @@
   }
 
   metrics.watch('held', () => upstreams.countRestricted())
+  metrics.watch('epoch', () => ({ store: epochs.epoch }))
 
   const startedAt = clock.now()
   const services: GatewayServices = {
@@ -372,6 +380,7 @@
       slackFrom: settings.isFirstStart ? startedAt : startedAt + settings.retries.window,
     }),
     confidenceGains: createConfidenceGains(),
+    openRequests: new Set(),
     stalls: new StallWatch(clock, reachability),
     reachability,
     suspects,
@@ -436,6 +445,9 @@
       log.event('leaving', {})
       peers.tick()
     },
+    endRequests() {
+      for (const request of services.openRequests) request.cutOff('leaving')
+    },
     async stop() {
       entries.stop()
       for (const timer of timers) timer.cancel()
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -202,7 +202,7 @@
   const store: Store = {
     readOperatorState: () => read(state.operators),
     // Waits on the manual clock like a long poll, so that the reader does not spin.
-    awaitOperatorState: (revision, wait) =>
+    awaitOperatorState: ({ revision }, wait) =>
       new Promise(resolve => clock.after(wait, () => resolve(undefined))).then(() =>
         read(state.operators.revision > revision),
       ),
@@ -251,6 +251,7 @@
     clock,
     bodyBytes: () => content.limits.bodyBytes,
     handle: (request, answer) => gateway.handle(request, answer),
+    onDropped: () => undefined,
   })
   gateway.start()
   const until = async (condition: () => boolean) => {
