Write lost rows again once the boxes agree on who leads

Callers saw: nothing; calls of the store are priced. Cause: just after the store is back, boxes differ on which of them reach it, and each that ranks itself first read the entries. Ruled out: a message of who has done it; gossip settles the rank within two rounds. Change: the first check comes one second after the notice. The 14 tests of rows of the boxes pass.

--- a/packages/gateway/src/tasks/lostRowsTask.ts
+++ b/packages/gateway/src/tasks/lostRowsTask.ts
@@ -15,6 +15,8 @@
   rows: Record<string, OwnRows>
 }
 
+/** Boxes agree again by then on who leads, after the store has answered some before others. */
+const SETTLE_DELAY: Milliseconds = 1_000
 /** For this long another box takes over from a leader that is lost or cut off. */
 const TAKEOVER_PERIOD: Milliseconds = 10_000
 const CHECK_INTERVAL: Milliseconds = 500
@@ -41,6 +43,7 @@
   async #write(name: string, restore: number): Promise<void> {
     const { clock, isLeader } = this.options
     const until = clock.now() + TAKEOVER_PERIOD
+    await sleep(clock, SETTLE_DELAY)
     while (clock.now() < until && restore === this.#restores) {
       if (isLeader() && (await this.#tryWrite(name))) return
       await sleep(clock, CHECK_INTERVAL)
