--- a/packages/soak/src/world/upstreams.ts
+++ b/packages/soak/src/world/upstreams.ts
@@ -44,6 +44,9 @@
   #instanceCount = 0
   #sequence = 0
   readonly #down = new Set<UpstreamSlot>()
+  /** Upstreams that have announced in their rows that they drain, by instance. */
+  readonly #draining = new Map<string, object>()
+  readonly #ended = new Set<string>()
   #isClosed = false
 
   constructor(private readonly options: UpstreamsOptions) {
@@ -63,9 +66,9 @@
   /** Crashes the upstream of a slot; its successor starts at once behind the same address. */
   async crash(slot: UpstreamSlot): Promise<void> {
     const crashed = slot.standIn
-    crashed.crash()
+    this.#end(crashed)
     slot.standIn = await this.#startSuccessor(slot)
-    this.options.rows.remove(UPSTREAMS_TABLE, crashed.instance)
+    this.#removeRow(crashed)
     this.#writeRow(slot, 'ready')
   }
 
@@ -74,13 +77,13 @@
     if (this.#down.has(slot)) return
     this.#down.add(slot)
     const crashed = slot.standIn
-    crashed.crash()
+    this.#end(crashed)
     slot.proxy.close()
     await new Promise(resolve => setTimeout(resolve, RESTART_DELAY_MS))
     if (this.#isClosed) return
     slot.standIn = await this.#startSuccessor(slot)
     slot.proxy = await startLoopbackProxy(this.options.host, () => slot.standIn.address)
-    this.options.rows.remove(UPSTREAMS_TABLE, crashed.instance)
+    this.#removeRow(crashed)
     this.#down.delete(slot)
     this.#writeRow(slot, 'ready')
   }
@@ -106,11 +109,10 @@
     const { rows, evidence, now } = this.options
     const draining = slot.standIn
     const proxy = await startLoopbackProxy(this.options.host, () => draining.address)
-    rows.put(
-      UPSTREAMS_TABLE,
-      draining.instance,
-      writeUpstream(slot.service, slot.version, proxy.address, 'draining', ++this.#sequence),
-    )
+    const { service, version } = slot
+    const row = writeUpstream(service, version, proxy.address, 'draining', ++this.#sequence)
+    rows.put(UPSTREAMS_TABLE, draining.instance, row)
+    this.#draining.set(draining.instance, row)
     evidence.drains.push({ instance: draining.instance, at: now() })
     await this.#handOver(slot, proxy)
   }
@@ -131,8 +133,8 @@
     slot.standIn = await this.#startSuccessor(slot)
     this.#writeRow(slot, 'ready')
     setTimeout(() => {
-      this.options.rows.remove(UPSTREAMS_TABLE, draining.instance)
-      draining.crash()
+      this.#removeRow(draining)
+      this.#end(draining)
       proxy.close()
     }, DRAIN_DURATION_MS)
   }
@@ -143,8 +145,8 @@
     const removed = this.slots.filter(isRemoved)
     this.slots.splice(0, Infinity, ...this.slots.filter(slot => !isRemoved(slot)))
     for (const { standIn, proxy } of removed) {
-      this.options.rows.remove(UPSTREAMS_TABLE, standIn.instance)
-      standIn.crash()
+      this.#removeRow(standIn)
+      this.#end(standIn)
       proxy.close()
     }
   }
@@ -180,6 +182,26 @@
     return standIn
   }
 
+  /** Writes the rows of a restored store again, and removes those of upstreams that have ended. */
+  writeRowsAgain(): void {
+    const { rows } = this.options
+    for (const instance of this.#ended) rows.remove(UPSTREAMS_TABLE, instance)
+    for (const [instance, row] of this.#draining) rows.put(UPSTREAMS_TABLE, instance, row)
+    this.#writeRows()
+  }
+
+  #end(standIn: ServiceStandIn): void {
+    const { evidence, now } = this.options
+    evidence.instanceEnds.set(standIn.instance, now())
+    standIn.crash()
+  }
+
+  #removeRow({ instance }: ServiceStandIn): void {
+    this.#draining.delete(instance)
+    this.#ended.add(instance)
+    this.options.rows.remove(UPSTREAMS_TABLE, instance)
+  }
+
   #writeRows(): void {
     for (const slot of this.slots) if (!this.#down.has(slot)) this.#writeRow(slot, 'ready')
   }
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -5,6 +5,7 @@
   Evidence,
   findViolations,
   planFaults,
+  planStoreReturns,
   runSeed,
   type Attempt,
   type PlannedCrashes,
@@ -102,6 +103,23 @@
     expect(violatedGuarantees(evidence)).to.deep.equal(['revoked-keys'])
   })
 
+  it('excuses late news by a return of the store only as long as the store was away', () => {
+    const violations = (change: (evidence: Evidence, at: number) => void, at: number) => {
+      const evidence = evidenceOf(attemptWith(), 1)
+      evidence.faults.push({ kind: 'store-returns', from: 7_000, until: 7_900 })
+      change(evidence, at)
+      return violatedGuarantees(evidence)
+    }
+    const moveRoute = (evidence: Evidence, at: number) =>
+      void evidence.routeMoves.push({ service: 'desk-2', previousService: 'desk', at })
+    const drain = (evidence: Evidence, at: number) =>
+      void evidence.drains.push({ instance: 'i-1', at })
+    expect(violations(moveRoute, 6_300)).to.deep.equal(['configuration'])
+    expect(violations(moveRoute, 6_500)).to.deep.equal([])
+    expect(violations(drain, 6_300)).to.deep.equal(['draining'])
+    expect(violations(drain, 6_500)).to.deep.equal([])
+  })
+
   it('enforces the answer deadline only while the box has no fault', () => {
     const evidence = evidenceOf(attemptWith({ end: { ...attemptWith().end!, at: 14_000 } }), 1)
     expect(violatedGuarantees(evidence)).to.deep.equal(['answered'])
@@ -110,6 +128,47 @@
   })
 })
 
+describe('findViolations for a planned stop', () => {
+  const STOP = { kind: 'box-stop', box: 'box-0', from: 8_000, until: 14_000, exitedAt: 12_000 }
+  const CUT_OFF = { ...attemptWith().end!, status: 0, isWhole: false, body: '' }
+  const cutOff = attemptWith({ end: CUT_OFF })
+
+  const stopViolations = (
+    attempt: Attempt,
+    executions: number,
+    change: (evidence: Evidence) => void = () => {},
+  ) => {
+    const evidence = evidenceOf(attempt, executions)
+    evidence.faults.push({ ...STOP })
+    change(evidence)
+    return violatedGuarantees(evidence)
+  }
+
+  it('detects an attempt that a box executes after its stop began and does not answer', () => {
+    expect(stopViolations(cutOff, 1)).to.deep.equal(['planned-stop'])
+    expect(stopViolations(cutOff, 0), 'not executed').to.deep.equal([])
+    const late = attemptWith({ sentAt: 12_500, end: { ...CUT_OFF, at: 12_600 } })
+    expect(stopViolations(late, 1), 'sent after the exit').to.deep.equal([])
+  })
+
+  it('detects an answer that is cut off in the middle', () => {
+    const truncated = attemptWith({ end: { ...CUT_OFF, status: 200, body: 'ans' } })
+    expect(stopViolations(truncated, 1)).to.deep.equal(['planned-stop'])
+  })
+
+  it('excuses only faults that can cut off an answer of this box', () => {
+    const span = { from: 9_000, until: 9_500 }
+    const violations = (kind: string, box?: string) =>
+      stopViolations(cutOff, 1, ({ faults }) => faults.push({ kind, ...(box && { box }), ...span }))
+    expect(violations('caller-link', 'box-0')).to.deep.equal([])
+    expect(violations('upstream-breaks')).to.deep.equal([])
+    expect(violations('box-kill', 'box-1')).to.deep.equal(['planned-stop'])
+    expect(violations('store-busy')).to.deep.equal(['planned-stop'])
+    const endUpstream = ({ instanceEnds }: Evidence) => instanceEnds.set('i-1', 10_010)
+    expect(stopViolations(cutOff, 1, evidence => void endUpstream(evidence))).to.deep.equal([])
+  })
+})
+
 describe('findViolations for rollouts', () => {
   const rollout = { service: 'pool', target: 'v2', orderedAt: 0, endsAt: 20_000, flawedAt: [] }
   const arrivals = (count: number, version: string, at: number) =>
@@ -154,6 +213,14 @@
   })
 })
 
+describe('planStoreReturns', () => {
+  it('plans none for seeds that failed before there were any, and one or two for later ones', () => {
+    expect(planStoreReturns(427, 8)).to.deep.equal([])
+    const counts = Array.from({ length: 40 }, (_, index) => planStoreReturns(470 + index, 8).length)
+    expect(new Set(counts)).to.deep.equal(new Set([1, 2]))
+  })
+})
+
 describe('createOrderedDelay', () => {
   it('runs work in the order of submission when the delay drops to zero', async () => {
     for (let round = 0; round < 20; round++) {
