A refused peer that resets its connection no longer ends the box

What callers saw: the process exits with all its open requests cut, when a peer with another secret connects and resets (LOST at any time). Cause: after an upgrade Node has taken its own error listener off the socket; the refusals (401, 400) end it without another. Ruled out: accepted upgrades and those that the library refuses: none raised in 20 tries each; with a wrong secret 20 of 20 did. Change: the socket has an error listener from the start of the upgrade. Before and after: the new test records `read ECONNRESET` as uncaught without the change, nothing with it. Conclusion: mended.

--- a/packages/box/src/node/wsTransport.ts
+++ b/packages/box/src/node/wsTransport.ts
@@ -76,6 +76,8 @@
       socket.once('close', () => this.#accepted.delete(socket))
     })
     server.on('upgrade', (request, socket, head) => {
+      // Without a listener the reset of a refused peer would be an uncaught error.
+      socket.on('error', () => socket.destroy())
       if (!this.#isSecretValid(request.headers[SECRET_HEADER])) {
         this.options.log.warn(
           { from: request.socket.remoteAddress },
--- a/packages/box/test/wsTransport.test.ts
+++ b/packages/box/test/wsTransport.test.ts
@@ -5,6 +5,8 @@
 import { WebSocket } from 'ws'
 
 const SECRET = 'a secret of some length'
+/** Turns of the event loop in which a reset over loopback has arrived. */
+const RESET_TURNS = 100
 
 const createIdentity = (box: string): PeerIdentity => ({
   box,
@@ -68,6 +70,30 @@
     await Promise.all([closed, hasEnded])
   })
 
+  it('raise no uncaught error when a refused peer resets its connection', async () => {
+    const { transport, address } = await openTransport('a')
+    const [host, port] = address.split(':')
+    const errors: unknown[] = []
+    const others = process.listeners('uncaughtException')
+    process.removeAllListeners('uncaughtException')
+    process.on('uncaughtException', error => errors.push(error))
+    try {
+      const peer = connect(Number(port), host)
+      await new Promise(resolve => peer.once('connect', resolve))
+      const upgrade = `GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: websocket\r\nsec-websocket-version: 13\r\nsec-websocket-key: ${Buffer.alloc(16).toString('base64')}\r\nyewkeel-peer: another\r\n\r\n`
+      peer.write(upgrade)
+      await new Promise(resolve => peer.once('data', resolve))
+      peer.resetAndDestroy()
+      for (let turn = 0; turn < RESET_TURNS; turn++)
+        await new Promise<void>(resolve => setImmediate(resolve))
+      await transport.close()
+    } finally {
+      process.removeAllListeners('uncaughtException')
+      for (const listener of others) process.on('uncaughtException', listener)
+    }
+    expect(errors).to.eql([])
+  })
+
   it('are refused with status 401 for a wrong secret', async () => {
     const { transport, address } = await openTransport('a')
     const socket = new WebSocket(`ws://${address}`, { headers: { 'yewkeel-peer': 'wrong' } })
