Count pipelined requests as open until they are answered or their connection ends

What callers saw: a request behind another one on its connection is passed on and ends without an answer when a box stops: closed as idle, or behind an answer that announces the close (LOST); one whose caller left kept the box from ever being quiet. Cause: a response that waits behind another one has no socket and emits no `close`, so neither was counted right; `connection: close` looked at the draining alone. Ruled out: Node's own list of idle connections, which spared such a request but not an unsent answer. Change: requests are counted by the connection of their message, and end with their response or their connection, whichever is first; an answer announces the close only if nothing else is open on its connection. Before and after: three new tests failed on (one answer of two; two times; one request open for good) and pass.

--- a/packages/gateway/src/node/callerConnections.ts
+++ b/packages/gateway/src/node/callerConnections.ts
@@ -1,4 +1,4 @@
-import type { ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
 interface ConnectionUse {
@@ -19,19 +19,22 @@
   }
 
   /** Records a request whose head has been read, until its answer is sent or its connection ends. */
-  begin(response: ServerResponse): void {
-    const { socket } = response
-    const use = socket && this.#useOf(socket)
+  begin({ socket }: IncomingMessage, response: ServerResponse): void {
+    const use = this.#useOf(socket)
     this.#openRequests++
-    if (use) use.openRequests++
-    response.once('close', () => {
+    use.openRequests++
+    onceEnded(socket, response, () => {
       this.#openRequests--
-      if (!use) return
       use.openRequests--
       use.bytesAtRest = socket.bytesRead
     })
   }
 
+  /** Whether a later request has been read on the connection of one that is not answered yet. */
+  hasPipelined({ socket }: IncomingMessage): boolean {
+    return (this.#uses.get(socket)?.openRequests ?? 0) > 1
+  }
+
   /**
    * Closes the connections that rest after an answer. Unlike those that the server counts as idle,
    * they have sent all of it.
@@ -52,3 +55,21 @@
     return use
   }
 }
+
+/**
+ * Calls back once when a response has been sent or its connection ends. A response that waits behind
+ * another one on its connection emits no `close` when that ends.
+ */
+export function onceEnded(socket: Socket, response: ServerResponse, callback: () => void): void {
+  let isOver = false
+  const handleEnd = () => {
+    // A listener that is removed during an emit is still called by it.
+    if (isOver) return
+    isOver = true
+    socket.off('close', handleEnd)
+    response.off('close', handleEnd)
+    callback()
+  }
+  socket.on('close', handleEnd)
+  response.on('close', handleEnd)
+}
--- a/packages/gateway/src/node/entryServer.ts
+++ b/packages/gateway/src/node/entryServer.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo, Server as ConnectionServer, Socket } from 'node:net'
 import { sleep, type Clock, type Milliseconds } from '@yewkeel/decisions'
 import type { CallerResponse, CallerRequest, RawHeaders } from '../types/ports.js'
-import { CallerConnections } from './callerConnections.js'
+import { CallerConnections, onceEnded } from './callerConnections.js'
 import { listenOn } from './listenOn.js'
 
 /**
@@ -62,10 +62,9 @@
   let isClosed = false
   const connections = new CallerConnections()
   const server = createServer({ requireHostHeader: false }, (message, response) => {
-    connections.begin(response)
-    if (isDraining) response.shouldKeepAlive = false
+    connections.begin(message, response)
     void serve(message, response, options, {
-      isDraining: () => isDraining,
+      isClosing: () => isDraining && !connections.hasPipelined(message),
       isClosed: () => isClosed,
     })
   })
@@ -128,7 +127,8 @@
 
 /** State of the server that its answers depend on. */
 interface EntryState {
-  isDraining(): boolean
+  /** Whether the answer is the last one on its connection. */
+  isClosing(): boolean
   isClosed(): boolean
 }
 
@@ -154,7 +154,7 @@
     body,
     receivedAt,
   }
-  options.handle(request, createAnswer(response, state))
+  options.handle(request, createAnswer(message, response, state))
 }
 
 /**
@@ -195,13 +195,14 @@
 }
 
 function createAnswer(
+  message: IncomingMessage,
   response: ServerResponse,
-  { isDraining, isClosed }: EntryState,
+  { isClosing, isClosed }: EntryState,
 ): CallerResponse {
   return {
     start(status, headers, isFramed) {
       if (response.headersSent) return
-      if (isDraining() || !isFramed) response.shouldKeepAlive = false
+      if (isClosing() || !isFramed) response.shouldKeepAlive = false
       if (!isFramed) response.useChunkedEncodingByDefault = false
       response.writeHead(status, headers)
     },
@@ -209,7 +210,7 @@
     end: chunk => void response.end(chunk),
     abort: () => void response.destroy(),
     onDisconnect(callback) {
-      response.once('close', () => {
+      onceEnded(message.socket, response, () => {
         if (!response.writableFinished) callback(isClosed() ? 'box' : 'caller')
       })
     },
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -254,6 +254,19 @@
     expect((await sendRequest(running, { 'time-left': '20000' })).text).to.equal(events(1, 4))
   })
 
+  it('counts a pipelined request as over when its caller disconnects', async () => {
+    const upstream = await startUpstream('u1', silent)
+    const running = await start([upstream], {})
+    const [host, port] = running.entry.address.split(':')
+    const socket = connect(Number(port), host)
+    const request = 'GET /desk/1 HTTP/1.1\r\nhost: 127.0.0.1\r\nid: a\r\ntime-left: 2000\r\n\r\n'
+    socket.write(request + request)
+    await running.advanceUntil(() => upstream.requests.length === 2)
+    socket.destroy()
+    await running.clock.advance(3_000)
+    expect(running.entry.openRequests).to.equal(0)
+  })
+
   it('moves the streams of an unreachable upstream at once and counts no failure of its version', async () => {
     const upstreams = [await startUpstream('u1', silent), await startUpstream('u2', streams(1, 2))]
     upstreams[0]!.listed.version = 'v2'
--- a/packages/gateway/test/plannedStop.test.ts
+++ b/packages/gateway/test/plannedStop.test.ts
@@ -1,6 +1,6 @@
 import { connect, type Socket } from 'node:net'
 import { expect } from 'chai'
-import { createSeededRandom, ManualClock } from '@yewkeel/decisions'
+import { createSeededRandom, ManualClock, type Route } from '@yewkeel/decisions'
 import { runGateway, type RunningGateway } from '../src/index.js'
 import {
   createTestRoute,
@@ -15,6 +15,8 @@
 const ANY_PORT = '127.0.0.1:0'
 const STEP_DURATION = 5
 const MAX_STEPS = 4_000
+/** A call that an upstream has got is not sent again. */
+const UNREPEATED: Partial<Route> = { kind: 'unsafe' }
 /** Larger than the buffers of a loopback connection. */
 const LARGE_BODY_BYTES = 16 * 1024 * 1024
 
@@ -53,10 +55,13 @@
   const closing: (() => void)[] = []
   afterEach(() => closing.splice(0).forEach(close => close()))
 
-  async function start(handler: UpstreamHandler): Promise<StoppableGateway> {
+  async function start(
+    handler: UpstreamHandler,
+    route: Partial<Route> = {},
+  ): Promise<StoppableGateway> {
     const clock = new ManualClock()
     const upstream = await startUpstream('u1', handler)
-    const { store } = createTestStore(clock, [upstream], { routes: [createTestRoute({})] })
+    const { store } = createTestStore(clock, [upstream], { routes: [createTestRoute(route)] })
     const events: StoppableGateway['events'] = []
     const requestLog: StoppableGateway['requestLog'] = []
     const running = await runGateway({
@@ -154,4 +159,41 @@
     await until(() => caller.isClosed)
     expect(caller.text.length).to.be.above(LARGE_BODY_BYTES)
   })
+
+  it('closes no connection as idle while a pipelined request on it is passed on', async () => {
+    const held: (() => void)[] = []
+    const gateway = await start((request, response) => {
+      const answer = () => answersWith('done')(request, response)
+      if (request.headers.id === 'first') answer()
+      else held.push(answer)
+    }, UNREPEATED)
+    const { clock, running, open, until } = gateway
+    const caller = await open()
+    caller.socket.write(createRequest('first') + createRequest('second'))
+    await until(() => held.length > 0 && caller.text.includes('done'))
+    void running.stop()
+    await clock.advance(1_700)
+    held[0]!()
+    await until(() => caller.isClosed)
+    expect(caller.text.split('HTTP/1.1').length - 1).to.equal(2)
+  })
+
+  it('announces no close with an answer behind which a pipelined request is passed on', async () => {
+    const held = new Map<unknown, () => void>()
+    const gateway = await start(
+      (request, response) =>
+        held.set(request.headers.id, () => answersWith('done')(request, response)),
+      UNREPEATED,
+    )
+    const { running, open, until } = gateway
+    const caller = await open()
+    caller.socket.write(createRequest('first') + createRequest('second'))
+    await until(() => held.size === 2)
+    void running.stop()
+    held.get('first')!()
+    await until(() => caller.text.includes('done'))
+    held.get('second')!()
+    await until(() => caller.isClosed)
+    expect(caller.text.split('HTTP/1.1').length - 1).to.equal(2)
+  })
 })
