Read what has arrived before a stopping box closes connections

Cause: idle connections are closed, and the stop is decided, by a timer. One that fires late comes before the bytes that waited as long. Ruled out: `bytesRead`, which does not know what lies in the kernel. Change: two turns of the event loop, which accept and read, come between the timer and the look at the connections. Before and after: the new test got 1 of 2 answers, now both.

--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -57,6 +57,8 @@
 /** Time to send the answers of requests that were ended, within the margin before the kill. */
 const LAST_ANSWERS_TIMEOUT: Milliseconds = 250
 const LAST_ANSWERS_POLL_INTERVAL: Milliseconds = 10
+/** Turns of the event loop: one accepts a connection, the next reads from it. */
+const READ_TURNS = 2
 
 /** Runs a gateway on network sockets. */
 export async function runGateway(options: RunGatewayOptions): Promise<RunningGateway> {
@@ -157,6 +159,7 @@
   let lastBusyAt = startedAt
   for (;;) {
     await sleep(clock, DRAIN_POLL_INTERVAL)
+    await waitingBytesRead()
     const now = clock.now()
     if (entry.openRequests > 0) lastBusyAt = now
     if (now - startedAt > IDLE_CLOSE_DELAY) entry.closeIdle()
@@ -165,6 +168,15 @@
   }
 }
 
+/**
+ * Resolves when what had arrived has been read: a timer that fires late comes before the bytes that
+ * waited with it.
+ */
+async function waitingBytesRead(): Promise<void> {
+  for (let turn = 0; turn < READ_TURNS; turn++)
+    await new Promise<void>(resolve => setImmediate(resolve))
+}
+
 /** Waits until the last answers have been sent, for a limited time. */
 async function lastAnswersSent(entry: EntryServer, clock: Clock): Promise<void> {
   const deadline = clock.now() + LAST_ANSWERS_TIMEOUT
--- a/packages/gateway/test/plannedStop.test.ts
+++ b/packages/gateway/test/plannedStop.test.ts
@@ -196,4 +196,19 @@
     await until(() => caller.isClosed)
     expect(caller.text.split('HTTP/1.1').length - 1).to.equal(2)
   })
+
+  it('closes no connection as idle whose next request came while the event loop was late', async () => {
+    const gateway = await start(answersWith('done'))
+    const { clock, running, upstream, open, until } = gateway
+    const caller = await open()
+    caller.socket.write(createRequest('first'))
+    await until(() => caller.text.includes('done'))
+    void running.stop()
+    await clock.advance(1_500)
+    // The timer fires before the request is read, as in a turn that was late.
+    caller.socket.write(createRequest('next'))
+    clock.advanceSync(100)
+    await until(() => caller.isClosed)
+    expect([upstream.requests.length, caller.text.split('HTTP/1.1').length - 1]).to.eql([2, 2])
+  })
 })
