Move a stalled stream only when another upstream can take it

Cause: a stall cancelled the exchange if attempts and retry budget allowed one more, without asking whether another upstream could take it; then none was found. The check of the budget claimed nothing, so that streams that stalled together could pass it on the same retry. Ruled out: a limit of time; a stream at its deadline is ended as before. Change: a move needs an upstream that has not been tried and can take the request now, and claims its attempt; otherwise the stream is listened to on. Before and after: one upstream, a pause of 4 s at 1 s allowed: cut before, now whole; the tests that move streams of stalled or unreachable upstreams pass. Conclusion: mended for streams; a safe call that gets no head in time is still repeated by its budget alone, with an answer either way.

--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -282,12 +282,12 @@
   }
 
   /**
-   * Ends a stalled attempt if the stream may be resumed at another upstream. Returns whether it
-   * did.
+   * Ends a stalled attempt if another upstream can resume the stream; silence alone is no reason to
+   * give it up. Returns whether it did.
    */
   #handleStall(pause: number): boolean {
     const { request } = this
-    if (!request.route.isResumable || !request.canAttempt()) return false
+    if (!request.route.isResumable || !request.claimMove(this.prompt)) return false
     const fault = this.upstream.health.isUnreachable ? 'unreachable' : 'silent'
     this.#cancelAndFail(fault, `nothing came for ${Math.round(pause)} ms`)
     return true
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -157,6 +157,11 @@
     return this.#canStillSend && this.#attempts.takeAttempt()
   }
 
+  /** Claims an attempt at another upstream, if one can take the request now. */
+  claimMove(prompt: PrefillWork): boolean {
+    return this.#canStillSend && this.#search.hasUpstream(prompt) && this.#attempts.takeAttempt()
+  }
+
   get #canStillSend(): boolean {
     return !this.isOver && this.timeLeft >= ROUND_TRIP_ALLOWANCE * 2
   }
--- a/packages/gateway/src/requests/upstreamSearch.ts
+++ b/packages/gateway/src/requests/upstreamSearch.ts
@@ -100,6 +100,11 @@
     return this.options.services.upstreams.beginsWithin({ ...this.#query(prompt), tried, prompt })
   }
 
+  /** Whether an upstream that has not been tried can take the request now. */
+  hasUpstream(prompt: PrefillWork): boolean {
+    return this.options.services.upstreams.pick(this.#query(prompt)) !== undefined
+  }
+
   /** Retry-After for a rejected caller, with random jitter while upstreams restrict their rate. */
   retryAfter(): Milliseconds {
     const { upstreams, random } = this.options.services
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -254,6 +254,23 @@
     expect((await sendRequest(running, { 'time-left': '20000' })).text).to.equal(events(1, 4))
   })
 
+  it('does not end a stalled stream that no other upstream can take', async () => {
+    let resume: (() => void) | undefined
+    const pauses: UpstreamHandler = (message, response) => {
+      response.writeHead(200, { signed: '1', id: message.headers.id as string })
+      response.write(events(1, 2))
+      resume ??= () => void response.end(events(3, 4))
+    }
+    const running = await start([await startUpstream('u1', pauses)], {
+      routes: [{ ...STREAM, timeout: 20_000 }],
+    })
+    const response = sendRequest(running, { 'time-left': '20000' })
+    await running.advanceUntil(() => resume !== undefined)
+    await running.clock.advance(4_000)
+    resume!()
+    expect((await response).text).to.equal(events(1, 4))
+  })
+
   it('counts a pipelined request as over when its caller disconnects', async () => {
     const upstream = await startUpstream('u1', silent)
     const running = await start([upstream], {})
