Stop each gateway of the planned stops' tests to its end

Cause: gateways, timers and listeners of the tests outlived them, so that a run of the tests did not end by itself (seen in two runs). Ruled out: other test files; seven that were tried end by themselves. Change: the set-up stops what it started before the next test; no check is changed.

--- a/packages/gateway/test/plannedStop.test.ts
+++ b/packages/gateway/test/plannedStop.test.ts
@@ -52,8 +52,10 @@
   }
 
 describe('a planned stop', () => {
-  const closing: (() => void)[] = []
-  afterEach(() => closing.splice(0).forEach(close => close()))
+  const closing: (() => Promise<void> | void)[] = []
+  afterEach(async () => {
+    for (const close of closing.splice(0)) await close()
+  })
 
   async function start(
     handler: UpstreamHandler,
@@ -83,7 +85,12 @@
       readinessPath: '/ready',
       metricsPath: '/metrics',
     })
-    closing.push(() => upstream.close())
+    closing.push(async () => {
+      upstream.close()
+      let isStopped = false
+      void running.stop().then(() => (isStopped = true))
+      await until(() => isStopped)
+    })
     const until = async (condition: () => boolean) => {
       for (let step = 0; step < MAX_STEPS && !condition(); step++)
         await clock.advance(STEP_DURATION)
@@ -98,7 +105,7 @@
       socket.on('error', () => undefined)
       socket.on('data', bytes => (caller.text += bytes.toString('latin1')))
       socket.on('close', () => (caller.isClosed = true))
-      closing.push(() => socket.destroy())
+      closing.push(() => void socket.destroy())
       await new Promise<void>((resolve, reject) => {
         socket.once('connect', resolve)
         socket.once('close', () => reject(new Error('refused')))
