Send the answers that have ended before the product's own box closes

What callers saw: by a trial, an answer that waits for a slow caller is cut when a box has drained (3.9 of 16 MiB arrive, no request counted as open). Ruled out: the count of open requests, which is right for what it counts. Change: the server waits until the answers that have ended are sent, for at most 1 s, before it closes; a kill closes at once, as before. Before and after: the new test receives 16 MiB; without the wait it fails.

--- a/packages/box/src/node/httpServer.ts
+++ b/packages/box/src/node/httpServer.ts
@@ -7,6 +7,7 @@
 } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
 import type { AddressInfo } from 'node:net'
+import type { Clock, Milliseconds } from '@yewkeel/decisions'
 import type { CallerRequest, Responder } from '../types/ports.js'
 
 export interface HttpServerOptions {
@@ -20,6 +21,7 @@
   idleTimeout: number
   /** PEM texts. Plain HTTP without them. */
   tls?: { cert: string; key: string; ca: string }
+  clock: Clock
   handle(request: CallerRequest, responder: Responder): Promise<void>
   /** Called when `handle` rejects or the request can't be read. */
   onError(error: unknown): void
@@ -28,12 +30,21 @@
 export interface HttpServer {
   /** `host:port` as bound. */
   address: string
+  /** Closes all connections once the answers that have ended are sent, or after a timeout. */
   close(): Promise<void>
+  /** Closes all connections at once. */
+  kill(): Promise<void>
 }
 
+/** Limit on sending the answers that have ended when the server closes. */
+const LAST_ANSWERS_TIMEOUT: Milliseconds = 1_000
+
 /** Serves a handler over HTTP/1.1, with limits on body size and on slow or idle clients. */
 export async function startHttpServer(options: HttpServerOptions): Promise<HttpServer> {
+  const unsent = new Set<ServerResponse>()
   const listener: RequestListener = (message, response) => {
+    unsent.add(response)
+    response.once('close', () => unsent.delete(response))
     handleMessage(message, response, options).catch((error: unknown) => {
       options.onError(error)
       sendInternalError(response)
@@ -52,7 +63,14 @@
     server.listen(port, host, resolve)
   })
   const bound = server.address() as AddressInfo
-  return { address: `${host}:${bound.port}`, close: () => closeServer(server) }
+  return {
+    address: `${host}:${bound.port}`,
+    async close() {
+      await lastAnswersSent(unsent, options.clock)
+      await closeServer(server)
+    },
+    kill: () => closeServer(server),
+  }
 }
 
 /** Splits `host:port`. The brackets of an IPv6 host are removed. */
@@ -148,6 +166,19 @@
   }
 }
 
+/** Waits until the answers that have ended are sent, for a limited time. */
+function lastAnswersSent(unsent: ReadonlySet<ServerResponse>, clock: Clock): Promise<void> {
+  const ended = [...unsent].filter(response => response.writableEnded)
+  return new Promise(resolve => {
+    const timer = clock.after(LAST_ANSWERS_TIMEOUT, resolve)
+    const sent = ended.map(response => new Promise(done => response.once('close', done)))
+    void Promise.all(sent).then(() => {
+      timer.cancel()
+      resolve()
+    })
+  })
+}
+
 function closeServer(server: Server): Promise<void> {
   return new Promise(resolve => {
     server.close(() => resolve())
--- a/packages/box/src/node/runBox.ts
+++ b/packages/box/src/node/runBox.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto'
 import { readFileSync } from 'node:fs'
-import { createSeededRandom, createSystemClock } from '@yewkeel/decisions'
+import { createSeededRandom, createSystemClock, type Clock } from '@yewkeel/decisions'
 import { createBox, type Box } from '../createBox.js'
 import { createOperatorHandler } from '../operators/handleOperator.js'
 import type { Log } from '../types/ports.js'
@@ -32,7 +32,7 @@
   const tracer = createTracer(settings)
   const client = new HttpUpstreamClient()
   let handleCaller: Parameters<typeof startHttpServer>[0]['handle'] = () => Promise.resolve()
-  const entryServer = await startEntryServer(settings, log, (request, responder) =>
+  const entryServer = await startEntryServer(settings, log, clock, (request, responder) =>
     handleCaller(request, responder),
   )
   const identity = {
@@ -66,10 +66,10 @@
     tracer,
   })
   handleCaller = (request, responder) => box.handle(request, responder)
-  const operatorServer = await startOperatorServer(settings, log, box)
+  const operatorServer = await startOperatorServer(settings, log, clock, box)
   await box.start()
-  const close = async () => {
-    await Promise.all([entryServer.close(), operatorServer.close(), transport.close()])
+  const closeRest = async () => {
+    await transport.close()
     await client.close()
     await tracer.close()
     metrics.close()
@@ -81,11 +81,13 @@
     peerAddress,
     async stop() {
       await box.stop()
-      await close()
+      await Promise.all([entryServer.close(), operatorServer.close()])
+      await closeRest()
     },
     async kill() {
       box.kill()
-      await close()
+      await Promise.all([entryServer.kill(), operatorServer.kill()])
+      await closeRest()
     },
   }
 }
@@ -93,6 +95,7 @@
 function startEntryServer(
   settings: Settings,
   log: Log,
+  clock: Clock,
   handle: Parameters<typeof startHttpServer>[0]['handle'],
 ): Promise<HttpServer> {
   const { limits } = settings
@@ -101,6 +104,7 @@
     maxBodyBytes: limits.bodyBytes,
     headerTimeout: limits.headerMilliseconds,
     idleTimeout: limits.idleCallerMilliseconds,
+    clock,
     handle,
     onError: error => log.error({ error: String(error) }, 'failed to handle a caller request'),
   })
@@ -108,7 +112,12 @@
 
 const MAX_OPERATOR_BODY_BYTES = 32 * 1024 * 1024
 
-function startOperatorServer(settings: Settings, log: Log, box: Box): Promise<HttpServer> {
+function startOperatorServer(
+  settings: Settings,
+  log: Log,
+  clock: Clock,
+  box: Box,
+): Promise<HttpServer> {
   const tls = readTlsFiles(settings.operators.tls)
   return startHttpServer({
     listen: settings.operators.listen,
@@ -116,6 +125,7 @@
     headerTimeout: settings.limits.headerMilliseconds,
     idleTimeout: settings.limits.idleCallerMilliseconds,
     ...(tls && { tls }),
+    clock,
     handle: createOperatorHandler(box),
     onError: error => log.error({ error: String(error) }, 'failed to handle an operator request'),
   })
--- a/packages/box/test/httpServer.test.ts
+++ b/packages/box/test/httpServer.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { connect } from 'node:net'
 import { request } from 'undici'
+import { ManualClock } from '@yewkeel/decisions'
 import { startHttpServer, type CallerRequest, type HttpServer, type Responder } from '@yewkeel/box'
 
 async function startServer(
@@ -11,12 +12,39 @@
     maxBodyBytes: 100,
     headerTimeout: 10_000,
     idleTimeout: 10_000,
+    clock: new ManualClock(),
     handle,
     onError: () => {},
   })
 }
 
+/** Larger than the buffers of a loopback connection. */
+const LARGE_BODY_BYTES = 16 * 1024 * 1024
+
 describe('HTTP server', () => {
+  it('sends the whole of an answer that has ended before it closes', async () => {
+    let hasEnded: () => void = () => {}
+    const ended = new Promise<void>(resolve => (hasEnded = resolve))
+    const server = await startServer(async (_request, responder) => {
+      responder.start(200, { 'content-length': String(LARGE_BODY_BYTES) })
+      responder.end('x'.repeat(LARGE_BODY_BYTES))
+      hasEnded()
+    })
+    const [host, port] = server.address.split(':')
+    const caller = connect(Number(port), host)
+    let received = 0
+    caller.on('data', bytes => (received += bytes.length))
+    caller.pause()
+    caller.on('error', () => {})
+    caller.write('GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n')
+    await ended
+    const closed = server.close()
+    caller.resume()
+    await new Promise<void>(resolve => caller.once('close', () => resolve()))
+    await closed
+    expect(received).to.be.above(LARGE_BODY_BYTES)
+  })
+
   it('answers 413 and not-run to a body over the limit, without calling the handler', async () => {
     let handled = 0
     const server = await startServer(async () => void handled++)
