Reject a completion whose max_completion_tokens is no whole number above 0

What callers saw: nothing; the box reserved a negative or undefined spend for such a request. Cause: only max_tokens was checked; the other limit, which counts first, was passed on as it came. Ruled out: null, which the interface allows and which is read as no limit, now for both. Change: one check for both fields, with the field named in the error. Conclusion: mended.

--- a/packages/box/src/requests/parseCompletion.ts
+++ b/packages/box/src/requests/parseCompletion.ts
@@ -63,7 +63,7 @@
   if (typeof body !== 'object' || body === null || Array.isArray(body)) {
     return 'the body must be a JSON object'
   }
-  const { model, messages, stream, max_tokens: maxTokens } = body as Partial<CompletionBody>
+  const { model, messages, stream } = body as Partial<CompletionBody>
   if (typeof model !== 'string' || model === '') return 'model: give the name of a model, or "auto"'
   if (!Array.isArray(messages) || messages.length === 0)
     return 'messages: give at least one message'
@@ -73,8 +73,18 @@
   if (invalidIndex !== -1)
     return `messages[${invalidIndex}]: give an object with a role and a content`
   if (stream !== undefined && typeof stream !== 'boolean') return 'stream: give true or false'
-  const isCount = maxTokens === undefined || (Number.isInteger(maxTokens) && maxTokens > 0)
-  return isCount ? undefined : 'max_tokens: give a whole number above 0'
+  const invalidLimit = LIMIT_FIELDS.find(
+    field => !isLimit((body as Partial<CompletionBody>)[field]),
+  )
+  return invalidLimit && `${invalidLimit}: give a whole number above 0`
+}
+
+/** Fields that limit the tokens of the answer. */
+const LIMIT_FIELDS = ['max_tokens', 'max_completion_tokens'] as const
+
+/** A missing limit is valid, and so is null, which the interface allows for it. */
+function isLimit(value: unknown): boolean {
+  return value === undefined || value === null || (Number.isInteger(value) && Number(value) > 0)
 }
 
 /** Text of a message's content, which is a string or a list of parts. */
--- a/packages/box/test/untrustedInput.test.ts
+++ b/packages/box/test/untrustedInput.test.ts
@@ -59,6 +59,22 @@
     )
   })
 
+  for (const field of ['max_tokens', 'max_completion_tokens'])
+    for (const value of [0, -5, 1.5, '20'])
+      it(`with ${field} ${JSON.stringify(value)} are rejected, since no spend can be reserved for it`, () => {
+        const body = { model: 'm', messages: [{ role: 'user', content: 'x' }], [field]: value }
+        const parsed = parseCompletion(JSON.stringify(body), {})
+        expect(parsed.isErr && parsed.error.message).to.equal(
+          `${field}: give a whole number above 0`,
+        )
+      })
+
+  it('with a limit of null are parsed as if they had none', () => {
+    const body = { model: 'm', messages: [{ role: 'user', content: 'x' }], max_tokens: null }
+    const parsed = parseCompletion(JSON.stringify(body), {})
+    expect(parsed.isOk && parsed.value.maxAnswerTokens).to.equal(4_096)
+  })
+
   it('from arbitrary JSON or text are parsed or rejected with the verdict not-run', () => {
     const bodies = fc.oneof(
       fc.json(),
