Reject a range of seeds that runs backwards

Cause: an empty list of seeds has no violations. Ruled out: other bad texts, which were rejected. Change: the parser is a module of its own and rejects an empty range with the usual error. Conclusion: mended.

--- a/packages/soak/src/node/main.ts
+++ b/packages/soak/src/node/main.ts
@@ -3,13 +3,13 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { defineCommand, runMain } from 'citty'
+import { parseSeedRange } from '../parseSeedRange.js'
 import { runSeed, type SeedOptions, type SeedResult } from '../runSeed.js'
 
 const BOX_PROGRAM = fileURLToPath(
   new URL('../../../../../platform/bundle/start.cjs', import.meta.url),
 )
 const REGRESSIONS_FILE = fileURLToPath(new URL('../../../regressions.json', import.meta.url))
-const SEED_RANGE = /^(\d+)(?:-(\d+))?$/
 
 /** A seed that once failed, and why. */
 interface Regression {
@@ -19,14 +19,6 @@
   cause: string
 }
 
-/** Parses `FROM-TO` or a single seed. Throws if the text is neither. */
-function parseSeedRange(text: string): number[] {
-  const range = SEED_RANGE.exec(text)
-  if (!range) throw new Error(`--seeds ${text}: give FROM-TO, as 1-50`)
-  const from = Number(range[1])
-  return Array.from({ length: Number(range[2] ?? from) - from + 1 }, (_, index) => from + index)
-}
-
 const command = defineCommand({
   meta: {
     name: 'soak',
