--- a/packages/box/test/wsTransport.test.ts
+++ b/packages/box/test/wsTransport.test.ts
@@ -1,8 +1,8 @@
-import { connect } from 'node:net'
+import { connect, type AddressInfo } from 'node:net'
 import { expect } from 'chai'
-import { createSystemClock } from '@yewkeel/decisions'
+import { createSystemClock, ManualClock, type Clock, type Milliseconds } from '@yewkeel/decisions'
 import { SILENT_LOG, WsTransport, type PeerIdentity, type PeerMessage } from '@yewkeel/box'
-import { WebSocket } from 'ws'
+import { WebSocket, WebSocketServer } from 'ws'
 
 const SECRET = 'a secret of some length'
 /** Turns of the event loop in which a reset over loopback has arrived. */
@@ -16,19 +16,55 @@
   peerAddress: '',
 })
 
-async function openTransport(box: string, secret = SECRET) {
+async function openTransport(box: string, secret = SECRET, clock: Clock = createSystemClock()) {
   const self = createIdentity(box)
   const transport = new WsTransport({
     self,
     listen: '127.0.0.1:0',
     secret,
-    clock: createSystemClock(),
+    clock,
     log: SILENT_LOG,
   })
   self.peerAddress = await transport.open()
   return { transport, address: self.peerAddress }
 }
 
+/** Time between steps of the manual clock, and turns of the event loop in which frames arrive. */
+const STEP: Milliseconds = 100
+const STEP_TURNS = 100
+
+async function advanceWithSockets(clock: ManualClock, duration: Milliseconds): Promise<void> {
+  for (let passed = 0; passed < duration; passed += STEP) {
+    await clock.advance(STEP)
+    for (let turn = 0; turn < STEP_TURNS; turn++)
+      await new Promise<void>(resolve => setImmediate(resolve))
+  }
+}
+
+/** Starts a peer that counts the links to it, and answers keep-alives or nothing at all. */
+async function startPeer(answersKeepAlives: boolean) {
+  let linkCount = 0
+  const server = new WebSocketServer({
+    host: '127.0.0.1',
+    port: 0,
+    autoPong: answersKeepAlives,
+  })
+  server.on('connection', socket => {
+    linkCount++
+    socket.send(JSON.stringify(createIdentity('b')))
+  })
+  await new Promise(resolve => server.once('listening', resolve))
+  const { port } = server.address() as AddressInfo
+  const close = () => {
+    for (const client of server.clients) client.terminate()
+    server.close()
+  }
+  return { address: `127.0.0.1:${port}`, linkCount: () => linkCount, close }
+}
+
+/** Time within which boxes have to know news; a link that carries nothing must be back by then. */
+const NEWS_WITHIN: Milliseconds = 3_000
+
 describe('peer links', () => {
   it('deliver messages in order, with the identity of the sender', async () => {
     const [a, b] = [await openTransport('a'), await openTransport('b')]
@@ -94,6 +130,34 @@
     expect(errors).to.eql([])
   })
 
+  it('are opened again within 3 s when an open one has gone silent', async () => {
+    const clock = new ManualClock()
+    const { transport } = await openTransport('a', SECRET, clock)
+    const peer = await startPeer(false)
+    transport.listen({ onMessage: () => {}, onConnected: () => {} })
+    transport.link([{ address: peer.address }])
+    await advanceWithSockets(clock, NEWS_WITHIN + STEP)
+    const links = peer.linkCount()
+    const closed = transport.close()
+    peer.close()
+    await closed
+    expect(links).to.equal(2)
+  })
+
+  it('stay open while the peer answers keep-alives', async () => {
+    const clock = new ManualClock()
+    const { transport } = await openTransport('a', SECRET, clock)
+    const peer = await startPeer(true)
+    transport.listen({ onMessage: () => {}, onConnected: () => {} })
+    transport.link([{ address: peer.address }])
+    await advanceWithSockets(clock, 4 * NEWS_WITHIN)
+    const links = peer.linkCount()
+    const closed = transport.close()
+    peer.close()
+    await closed
+    expect(links).to.equal(1)
+  })
+
   it('are refused with status 401 for a wrong secret', async () => {
     const { transport, address } = await openTransport('a')
     const socket = new WebSocket(`ws://${address}`, { headers: { 'yewkeel-peer': 'wrong' } })
