Links between boxes are kept alive: one that has gone silent is opened again

What callers saw: at single boxes the old service, routes that had been added refused, a version that all others had judged bad. The box hears some of the others (links are one-way) while its requests for content are lost, and evidence and verdicts stay with those that have them. Class: the life of a connection is taken for granted until it ends. Change: keep-alives of the protocol each 0.8 s; two without an answer end the link, which opens again 0.5 s later, within the 3 s for news. A link that is not open yet has 4 s. An accepted link whose peer sent keep-alives and then nothing for 9.6 s is closed. Ruled out: to judge by bytes that wait, since the system takes them; by the gossip of the other direction, which is another connection.

--- a/packages/box/src/node/wsTransport.ts
+++ b/packages/box/src/node/wsTransport.ts
@@ -2,11 +2,12 @@
 import { createServer } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
-import type { Clock, Milliseconds } from '@yewkeel/decisions'
+import type { Clock, Milliseconds, Timer } from '@yewkeel/decisions'
 import { Packr } from 'msgpackr'
 import { WebSocket, WebSocketServer } from 'ws'
 import { hashKey } from '../requests/callerKeys.js'
 import { voterOf, type PeerIdentity, type PeerMessage } from '../types/peerMessage.js'
+import { every } from '../tasks/every.js'
 import type { Log, PeerAddress, PeerListener, PeerTransport } from '../types/ports.js'
 import { splitAddress } from './httpServer.js'
 
@@ -27,6 +28,16 @@
 
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 const RECONNECT_DELAY: Milliseconds = 500
+/**
+ * A connection may go silent without a reset. Two unanswered keep-alives and `RECONNECT_DELAY` later
+ * the link is open again, before the 3 s in which boxes must know news.
+ */
+const KEEP_ALIVE_INTERVAL: Milliseconds = 800
+const MAX_UNANSWERED = 2
+/** The same for a link that is not open yet: a peer that starts on a busy machine is slow to accept. */
+const MAX_OPENING_INTERVALS = 5
+/** Keep-alive intervals without a frame after which an accepted link is closed: its peer has another. */
+const MAX_IDLE_INTERVALS = 12
 const SECRET_HEADER = 'yewkeel-peer'
 const IDENTITY_HEADER = 'yewkeel-identity'
 const MAX_BACKLOG_BYTES = 16 * 1024 * 1024 // a peer this far behind isn't reading
@@ -36,6 +47,17 @@
   peer?: PeerIdentity
   /** Messages of this turn of the event loop, sent as one frame. */
   queued: Message[]
+  /** Keep-alives since the peer last answered one, or since the link began to open. */
+  unanswered: number
+}
+
+/** A link that a peer opened to this box. */
+interface AcceptedLink {
+  socket: WebSocket
+  /** Keep-alive intervals since its last frame. */
+  idleIntervals: number
+  /** Older peers send no keep-alives, and may be idle. */
+  sendsKeepAlives: boolean
 }
 
 /**
@@ -55,6 +77,8 @@
   #webSocketServer: WebSocketServer | undefined
   /** Accepted connections, also those that are not a link yet. */
   readonly #accepted = new Set<Socket>()
+  readonly #acceptedLinks = new Set<AcceptedLink>()
+  #keepAlives: Timer | undefined
   #isClosed = false
 
   constructor(private readonly options: WsTransportOptions) {}
@@ -100,6 +124,7 @@
       server.once('error', reject)
       server.listen(port, host, resolve)
     })
+    this.#keepAlives = every(this.options.clock, KEEP_ALIVE_INTERVAL, () => this.#checkLinks())
     return `${host}:${(server.address() as AddressInfo).port}`
   }
 
@@ -148,6 +173,7 @@
 
   async close(): Promise<void> {
     this.#isClosed = true
+    this.#keepAlives?.cancel()
     for (const link of this.#linksByAddress.values()) {
       this.#flush(link)
       link.socket.close()
@@ -169,10 +195,12 @@
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: this.#compression(),
     })
-    const link: Link<Message> = { socket, queued: [] }
+    const link: Link<Message> = { socket, queued: [], unanswered: 0 }
     this.#linksByAddress.set(address, link)
     // The accepting side sends its identity as its first message.
     socket.on('message', (bytes: Buffer) => this.#handleIdentity(link, bytes))
+    socket.on('open', () => (link.unanswered = 0))
+    socket.on('pong', () => (link.unanswered = 0))
     socket.on('error', error =>
       this.options.log.info({ address, error: error.message }, 'peer link failed'),
     )
@@ -186,6 +214,26 @@
     })
   }
 
+  /** Sends keep-alives, and ends links whose other end has gone silent. */
+  #checkLinks(): void {
+    for (const [address, link] of this.#linksByAddress) this.#checkLink(address, link)
+    for (const link of this.#acceptedLinks) {
+      link.idleIntervals++
+      if (link.sendsKeepAlives && link.idleIntervals > MAX_IDLE_INTERVALS) link.socket.terminate()
+    }
+  }
+
+  #checkLink(address: string, link: Link<Message>): void {
+    const { socket, unanswered } = link
+    const isOpening = socket.readyState === WebSocket.CONNECTING
+    if (unanswered >= (isOpening ? MAX_OPENING_INTERVALS : MAX_UNANSWERED)) {
+      this.options.log.info({ address, unanswered, isOpening }, 'peer link is silent')
+      return socket.terminate()
+    }
+    link.unanswered++
+    if (socket.readyState === WebSocket.OPEN) socket.ping()
+  }
+
   /** Compresses each frame separately, so that a link keeps no compression window in memory. */
   #compression() {
     const { compressionThresholdBytes } = this.options
@@ -212,8 +260,16 @@
 
   #accept(socket: WebSocket, peer: PeerIdentity): void {
     socket.send(JSON.stringify(this.options.self))
+    const link: AcceptedLink = { socket, idleIntervals: 0, sendsKeepAlives: false }
+    this.#acceptedLinks.add(link)
     socket.on('error', () => socket.terminate())
+    socket.on('close', () => this.#acceptedLinks.delete(link))
+    socket.on('ping', () => {
+      link.idleIntervals = 0
+      link.sendsKeepAlives = true
+    })
     socket.on('message', (bytes: Buffer) => {
+      link.idleIntervals = 0
       const messages = this.#unpack(bytes)
       if (!messages) return socket.terminate()
       for (const message of messages) this.#listener?.onMessage(peer, message)
