--- a/packages/gateway/test/fleet.test.ts
+++ b/packages/gateway/test/fleet.test.ts
@@ -47,6 +47,14 @@
   return spent
 }
 
+/** The operators write another version of the configuration. */
+function changeConfiguration({ store }: Fleet, revision: number): void {
+  const configuration = { ...store.operators.configuration!, revision }
+  store.version++
+  const { version } = store
+  store.operators = { ...store.operators, revision: version, fingerprint: version, configuration }
+}
+
 const maxOperatorAge = (fleet: Fleet) =>
   Math.max(...fleet.boxes.map(({ gateway }) => gateway.services.operators.age))
 
@@ -96,6 +104,20 @@
     }
   })
 
+  it('knows the news at all boxes 4 s after the store stopped rejecting some whose own messages are lost', async () => {
+    fleet = await startFleet(83)
+    const unheard = fleet.boxes.filter((_, index) => index % 8 === 5)
+    const names = new Set(unheard.map(({ identity }) => identity.box))
+    fleet.delayMessages(from => (names.has(from) ? Infinity : 0))
+    for (const box of unheard) box.isStoreUnavailable = true
+    changeConfiguration(fleet, 2)
+    await fleet.clock.advance(NEWS_WITHIN)
+    for (const box of unheard) box.isStoreUnavailable = false
+    await fleet.clock.advance(4_000)
+    for (const { identity, gateway } of fleet.boxes)
+      expect(gateway.services.operators.index?.configuration.revision, identity.box).to.equal(2)
+  })
+
   it('reads through other boxes when the store rejects the readers', async () => {
     fleet = await startFleet(30)
     for (const box of fleet.boxes.slice(0, 10)) box.isStoreUnavailable = true
