A box whose call to the store failed calls again soon when others reach the store and do not keep its copy fresh

What callers saw: at single boxes requests handled by a configuration that was replaced long before, 4.5 to 20.9 s on the manual clock. Cause: after a failed call a box that is no reader pauses 125 ms times the number of boxes, 10.4 s at 83, since gossip is to bring the news. Where gossip does not reach it, or what it asks of others is lost, nothing does. Change: while a box waits it looks whether its copy is as old as one that it would read for itself, and whether another box reaches the store; after a round of gossip in that state it calls again. While nobody reaches the store the long pause stays. New lines: the age of the copy in store-lost, store-retry-behind.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -311,6 +311,7 @@
     epochs,
     isReader,
     boxCount: () => services.boxCount(),
+    othersReachStore: () => peers.live().some(({ isStoreLost }) => !isStoreLost),
     turn,
     onStoreChange: announce,
     newsWithin: () => settings.newsWithin,
--- a/packages/gateway/src/tasks/storeReader.ts
+++ b/packages/gateway/src/tasks/storeReader.ts
@@ -30,6 +30,8 @@
   isReader(): boolean
   /** Number of boxes known by gossip, including this one. */
   boxCount(): number
+  /** Whether another box reaches the store, so that its news are there to be heard. */
+  othersReachStore(): boolean
   /** Number of this box from 0 to 1, spread evenly over all boxes. */
   turn: number
   /** Called when the store stops or resumes answering this box. */
@@ -73,6 +75,11 @@
 const READER_RETRY_DELAY: Milliseconds = 250
 /** Retry delay of other boxes per known box, which bounds their common call rate. */
 const RETRY_DELAY_PER_BOX: Milliseconds = 125
+/**
+ * Time for which a box whose call failed may be behind while others reach the store, until it calls
+ * again: a round of gossip, which brings the news to those that hear the others.
+ */
+const BEHIND_RETRY_DELAY: Milliseconds = 400
 /**
  * Minimum time between the starts of two steps of a loop, so that immediate answers cause no busy
  * loop.
@@ -194,15 +201,31 @@
 
   /**
    * Waits until the failed call is to be repeated, for a fraction of the usual delay. Another box's
-   * failure may make this one a reader meanwhile, which repeats sooner.
+   * failure may make this one a reader meanwhile, which repeats sooner; so does a box that is behind.
    */
   async #retryDue(fraction: number): Promise<void> {
-    const { clock, operators } = this.options
+    const { clock, operators, log } = this.options
     const failedAt = clock.now()
+    let behindSince: Milliseconds | undefined
     if (operators.state.revision === 0)
       this.#startupRetryDelay = Math.min(MAX_STARTUP_RETRY_DELAY, 2 * this.#startupRetryDelay)
-    while (!this.#isStopped && clock.now() - failedAt < this.#retryDelay(fraction))
+    while (!this.#isStopped && clock.now() - failedAt < this.#retryDelay(fraction)) {
+      behindSince = this.#isBehind ? (behindSince ?? clock.now()) : undefined
+      if (behindSince !== undefined && clock.now() - behindSince >= BEHIND_RETRY_DELAY)
+        return log.event('store-retry-behind', { age: Math.round(operators.age) })
       await sleep(clock, CHECK_INTERVAL)
+    }
+  }
+
+  /** Whether the operator state has been confirmed lately enough to need no read of this box. */
+  get #isFresh(): boolean {
+    const { operators, newsWithin } = this.options
+    return operators.age < newsWithin() - UNCONFIRMED_READ_MARGIN
+  }
+
+  /** Whether gossip does not keep this box's copy fresh though another box reaches the store. */
+  get #isBehind(): boolean {
+    return !this.#isFresh && this.options.othersReachStore()
   }
 
   /** Time from a failed call, or from a read of an outdated state, to the next one. */
@@ -218,8 +241,7 @@
     const { operators, clock, store, rollouts, isReader, newsWithin } = this.options
     const isFirst = operators.state.revision === 0
     const isProbeDue = this.#isStoreOut && clock.now() - this.#lastCallAt > STORE_PROBE_INTERVAL
-    const isFresh = operators.age < newsWithin() - UNCONFIRMED_READ_MARGIN
-    if (!isFirst && !isReader() && isFresh && !isProbeDue) return CHECK_INTERVAL
+    if (!isFirst && !isReader() && this.#isFresh && !isProbeDue) return CHECK_INTERVAL
     const sentAt = clock.now()
     this.#lastCallAt = sentAt
     if (!isFirst) {
@@ -282,11 +304,12 @@
   }
 
   #recordFailure(error: unknown): void {
-    const { log, metrics } = this.options
+    const { log, metrics, operators } = this.options
     metrics.count('storeCalls', 'failed')
     if (this.#isStoreOut) return
     this.#isStoreOut = true
-    log.event('store-lost', { error: String(error) })
+    const age = Number.isFinite(operators.age) ? Math.round(operators.age) : undefined
+    log.event('store-lost', { error: String(error), configurationAge: age })
     this.options.onStoreChange()
   }
 }
--- a/packages/gateway/test/storeReader.test.ts
+++ b/packages/gateway/test/storeReader.test.ts
@@ -45,6 +45,7 @@
     epochs: { record() {} },
     isReader: () => false,
     boxCount: () => 7,
+    othersReachStore: () => true,
     turn: 1,
     onStoreChange() {},
     newsWithin: () => newsWithin,
