--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -322,7 +322,7 @@
 }
 
 /** Simulated network with one-way links, opened by the dialling box. */
-class InMemoryNetwork {
+export class InMemoryNetwork {
   readonly sent = new Map<GatewayMessage['type'], number>()
   readonly sentBytes = new SentBytes()
   /** Boxes that sent messages, by type and recipient. */
