A box that has lost its path to the upstreams serves its callers by way of another box

Cause: each upstream is judged by itself. Nothing that a box knows, tells others, answers at the directory or decides by says that its own path is gone. Class: what a box sees alone is taken for the state of what it looks at. Why it works: the requests that still come are served at the price of one hop, whatever addresses callers keep. Ruled out: the directory alone (a third of the callers keep addresses for 6 s), closing the entry, 503 (failed tries both).

--- a/packages/decisions/src/listing/exchangeHealth.ts
+++ b/packages/decisions/src/listing/exchangeHealth.ts
@@ -115,6 +115,15 @@
   health.isUnreachable = false
 }
 
+/** Records that what failed lately was this box's path, not the upstream. */
+export function recordReconnected(health: ExchangeHealth): void {
+  health.consecutiveLosses = 0
+  health.ejections = 0
+  health.ejectedUntil = 0
+  health.badShare = 0
+  health.isUnreachable = false
+}
+
 export function isEjected(health: ExchangeHealth, now: Milliseconds): boolean {
   return health.isGone || health.isUnreachable || now < health.ejectedUntil
 }
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -28,9 +28,11 @@
 import { LostRowsTask } from './tasks/lostRowsTask.js'
 import { OwnHeadroom } from './tasks/ownHeadroom.js'
 import { OperatorTask } from './tasks/operatorTask.js'
+import { PathWatch } from './tasks/pathWatch.js'
 import { PauseWatch } from './tasks/pauseWatch.js'
 import { PeerTask } from './tasks/peerTask.js'
 import { ReachabilityWatch } from './tasks/reachabilityWatch.js'
+import { Relays } from './tasks/relays.js'
 import { RoomAdmission } from './tasks/roomAdmission.js'
 import { RoomDemand } from './tasks/roomDemand.js'
 import { RolloutTask } from './tasks/rolloutTask.js'
@@ -53,6 +55,7 @@
   OperatorState,
   Store,
 } from './types/ports.js'
+import type { Upstream } from './types/upstream.js'
 import type { GatewayServices } from './types/services.js'
 import type { GatewayLimits, GatewaySettings } from './types/settings.js'
 
@@ -277,15 +280,31 @@
       services.stalls.stallStreamsOf(upstream)
       reachability.probeUntilReachable(upstream)
     },
+    onLost: upstream => paths.recordFailure(upstream),
     onGone: ({ run }) => peers.announceEndedRuns([run]),
   })
+  const probe = ({ listed }: Upstream) =>
+    options.probe?.(listed.address) ?? probeConnection(listed.address, clock)
+  const relays = new Relays({ clock, random, live: () => peers.live() })
+  const paths: PathWatch = new PathWatch({
+    clock,
+    random,
+    log,
+    all: () => upstreams.all(),
+    probe,
+    othersHear: service => relays.hear(service),
+    hasRelay: service => relays.pick(service, []) !== undefined,
+    onChange: announce,
+  })
   const reachability = new ReachabilityWatch({
     clock,
-    probe: ({ listed }) =>
-      options.probe?.(listed.address) ?? probeConnection(listed.address, clock),
+    probe,
     isListed: upstream => upstreams.isListed(upstream),
+    isPathLost: ({ listed }) => paths.isLost(listed.service),
     onUnreachable: upstream => outcomes.record(upstream, 'unreachable'),
-    onReachable: upstream => upstreams.markReachable(upstream),
+    onReachable(upstream) {
+      if (upstream.health.isUnreachable) upstreams.markReachable(upstream)
+    },
   })
   const rollouts: RolloutTask = new RolloutTask({
     clock,
@@ -325,7 +344,8 @@
     transport,
     content: () => ({
       own: {
-        state,
+        state: reportedState(),
+        paths: paths.report,
         isStoreLost: reader.isStoreOut,
         headroom: headroom.measure(),
         answers: rollouts.answers,
@@ -411,6 +431,11 @@
     log.event('serving', { after: Math.round(clock.now() - startedAt) })
   }
 
+  /** The state as other boxes hear it. */
+  function reportedState(): GatewayState {
+    return state === 'serving' && paths.isCutOff ? 'cut-off' : state
+  }
+
   /** Sends a round of gossip soon; neighbours request the content that they lack. */
   function announce(): void {
     beginToServe()
@@ -463,9 +488,11 @@
 
   /** This box and the others that serve, with what each can bear. */
   function servingBoxes(): ServingBox[] {
-    const others = peers.live().filter(peer => peer.state === 'serving')
-    const own = state === 'serving' ? [{ ...identity, headroom: headroom.level }] : []
-    return [...own, ...others.map(({ entry, headroom: level }) => ({ ...entry, headroom: level }))]
+    const others = peers.live().map(peer => ({ ...peer.entry, ...peer }))
+    const all = [{ ...identity, state: reportedState(), headroom: headroom.level }, ...others]
+    const serving = all.filter(box => box.state === 'serving')
+    // Callers are better off with a box that passes their requests on than with none.
+    return serving.length > 0 ? serving : all.filter(box => box.state === 'cut-off')
   }
 
   /** This box's part of the connections to one upstream of a service. */
@@ -479,6 +506,10 @@
   metrics.watch('slow', () => told.countSlow())
   const roomWatch = new RoomWatch({ log, upstreams, isOn: () => settings.parts.sharedRoom })
   metrics.watch('room', () => roomWatch.freeByService())
+  metrics.watch('lostPaths', () => ({
+    services: paths.report.lost.length,
+    all: Number(paths.isCutOff),
+  }))
   metrics.watch('waiting', () => roomQueue.waiting())
   metrics.watch('epoch', () => ({ store: epochs.epoch }))
 
@@ -512,6 +543,8 @@
     kept: new KeptBytes({ clock, log, metrics, settings }),
     suspects,
     pauses,
+    paths,
+    relays,
     advertisements,
     boxCount: () => peers.liveCount + 1,
     budgetBoxCount: () => (peers.hasEntries ? knownBoxCount() : Infinity),
@@ -550,6 +583,7 @@
       timers.push(
         services.pauses.start(),
         services.kept.start(),
+        paths.start(),
         every(clock, GOSSIP_INTERVAL, () => peers.tick()),
         every(clock, ROOM_WATCH_INTERVAL, () => roomWatch.tick()),
         every(clock, ROLLOUT_INTERVAL, () => rollouts.tick()),
@@ -587,6 +621,7 @@
       reader.stop()
       quarantine.stop()
       upstreams.retireConnections()
+      relays.retire()
       await transport.close()
     },
   }
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -12,6 +12,8 @@
   crashes:
     'requests that were at an upstream when its process ended, and what was held against them',
   exchanges: 'tries at upstreams by outcome',
+  relayed:
+    'requests passed on to another box, since the path to their upstreams is lost, by service',
   retries: 'requests sent once more, and those that the retry budget did not allow',
   ejections: 'upstreams taken out of use, by service',
   statements: 'what upstreams said of themselves, by kind',
@@ -27,6 +29,7 @@
   waiting: 'requests that wait at this box for room, by service',
   held: 'upstreams that get fewer requests than they could work on, by why',
   kept: 'bytes kept in memory for callers and upstreams, by kind',
+  lostPaths: 'services to whose upstreams this box has no path, and whether it has one to none',
   room: 'places believed to be free at upstreams, by service',
 }
 
--- a/packages/gateway/src/requests/admitCaller.ts
+++ b/packages/gateway/src/requests/admitCaller.ts
@@ -14,6 +14,8 @@
   route: Route
   service: string
   organisation?: OrganisationKeys
+  /** Another box passed it on, since it has no path to the upstreams; it is passed on no further. */
+  isRelayed: boolean
   /** Arrival plus the shorter of the caller's timeout and the route's. */
   deadline: Milliseconds
 }
@@ -71,6 +73,7 @@
     fields,
     route,
     service: pickTarget(route, random),
+    isRelayed: request.isRelayed ?? false,
     ...(organisation && { organisation }),
     deadline: request.receivedAt + timeout,
   }
--- a/packages/gateway/src/requests/exchangeWithUpstream.ts
+++ b/packages/gateway/src/requests/exchangeWithUpstream.ts
@@ -121,6 +121,7 @@
   const recordBytes = () => {
     running.lastBytesAt = now()
     upstream.health.lastHeardAt = running.lastBytesAt
+    upstream.heardAt = running.lastBytesAt
   }
   const exchange: Exchange = upstream.connectionPool.send(request, {
     onHead(status, headers) {
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -24,6 +24,7 @@
 import { logRequest, NOT_RUN_STATUS } from './logRequest.js'
 import { AttemptLog } from './attemptLog.js'
 import { AnswerEvidence } from './answerEvidence.js'
+import { relayToBox } from './relayToBox.js'
 import { UpstreamSearch } from './upstreamSearch.js'
 
 /** Status for a quarantined request. */
@@ -374,6 +375,10 @@
    */
   fail(reason: string): void {
     if (this.isOver) return
+    if (this.#mayBeRelayed) {
+      this.finish('passed-on', undefined)
+      return relayToBox(this.services, this.admitted, this.answer)
+    }
     const isLate = this.timeLeft <= 0
     const status = !this.mayHaveRun ? NOT_RUN_STATUS : isLate ? 504 : 502
     const retryAfter = this.mayHaveRun ? undefined : this.#search.retryAfter()
@@ -383,6 +388,14 @@
     this.finish(reason, status)
   }
 
+  /** It has run nowhere, and the path to its upstreams was found to be lost meanwhile. */
+  get #mayBeRelayed(): boolean {
+    const { isRelayed, service } = this.admitted
+    return (
+      !isRelayed && !this.mayHaveRun && this.#canStillSend && this.services.paths.isLost(service)
+    )
+  }
+
   /** Finishes the request: cancels the exchange, writes the log line and ignores later calls. */
   finish(outcome: string, status: number | undefined): void {
     if (this.isOver) return
--- a/packages/gateway/src/requests/handleCaller.ts
+++ b/packages/gateway/src/requests/handleCaller.ts
@@ -5,6 +5,8 @@
 import { forwardCall } from './forwardCall.js'
 import { ForwardedRequest } from './forwardedRequest.js'
 import { forwardStream } from './forwardStream.js'
+import { takeRelayMark } from './relayMark.js'
+import { relayToBox } from './relayToBox.js'
 
 /**
  * Fraction of the key revocation time after which keys are rejected without a fresh confirmation of
@@ -41,10 +43,11 @@
 export function handleCaller(
   services: GatewayServices,
   drainingFor: Milliseconds,
-  request: CallerRequest,
+  received: CallerRequest,
   answer: CallerResponse,
 ): void {
-  const { dialect, operators, random, log } = services
+  const { dialect, operators, random, log, settings } = services
+  const request = { ...received, ...takeRelayMark(received.headers, settings.peerSecret) }
   const fields = dialect.readRequest(request.headers)
   const admitted = admitCaller(request, fields, operators.index, freshnessOf(services), random)
   if ('status' in admitted) return reject(services, request, fields.id, answer, admitted)
@@ -52,6 +55,8 @@
     return reject(services, request, fields.id, answer, { status: 503, reason: 'leaving' })
   if (request.isBodyUnread || services.kept.isShort())
     return reject(services, request, fields.id, answer, { status: 503, reason: 'memory-short' })
+  if (!admitted.isRelayed && services.paths.isLost(admitted.service))
+    return relayToBox(services, admitted, answer)
   const forwarded = new ForwardedRequest(services, admitted, answer)
   FORWARDERS[admitted.route.kind](forwarded).catch((error: unknown) => {
     log.event('request-failed', { id: fields.id, error: String(error) })
--- a/packages/gateway/src/tasks/knownBoxes.ts
+++ b/packages/gateway/src/tasks/knownBoxes.ts
@@ -5,7 +5,7 @@
   type HeadroomLevel,
   type Milliseconds,
 } from '@yewkeel/decisions'
-import type { GatewayState, OwnReport } from '../types/gossip.js'
+import type { GatewayState, OwnReport, PathReport } from '../types/gossip.js'
 import type { BoxEntry } from '../types/ports.js'
 import { shortRunHash, type RelayedReport } from './relayedReports.js'
 import type { BoxAnswers } from './versionEvaluator.js'
@@ -22,6 +22,8 @@
   isStoreLost: boolean
   /** What it can bear beyond its present load. */
   headroom: HeadroomLevel
+  /** Only its own gossip carries them. */
+  paths: PathReport | undefined
   /** Its answer counts by version; only its own gossip carries them. */
   answers: readonly AnswerCount[]
   lastReportAt: Milliseconds
@@ -123,8 +125,8 @@
   recordOwnReport(entry: BoxEntry, run: number, report: OwnReport, now: Milliseconds): boolean {
     const before = this.#boxes.get(entry.box)
     this.addEntry(entry)
-    const { headroom = UNKNOWN_HEADROOM } = report
-    this.#record({ ...report, headroom, entry, run: shortRunHash(run), lastReportAt: now })
+    const { headroom = UNKNOWN_HEADROOM, paths } = report
+    this.#record({ ...report, headroom, paths, entry, run: shortRunHash(run), lastReportAt: now })
     return before?.state !== report.state
   }
 
@@ -142,8 +144,10 @@
     if (known?.run === run && known.sequence >= sequence) return true
     if (known && known.run !== run && !isLaterRun(known, sequence, now)) return true
     const answers = known?.run === run ? known.answers : []
+    const paths = known?.run === run ? known.paths : undefined
     const lastReportAt = known?.run === run ? now : now + NEW_RUN_GRACE
-    this.#record({ state, sequence, isStoreLost, headroom, answers, entry, run, lastReportAt })
+    const lasting = { answers, paths, entry, run }
+    this.#record({ ...lasting, state, sequence, isStoreLost, headroom, lastReportAt })
     return true
   }
 
--- a/packages/gateway/src/tasks/reachabilityWatch.ts
+++ b/packages/gateway/src/tasks/reachabilityWatch.ts
@@ -7,6 +7,8 @@
   /** Whether an upstream accepts a connection. */
   probe(upstream: Upstream): Promise<boolean>
   isListed(upstream: Upstream): boolean
+  /** Whether this box has lost its path to the upstream's service, which is probed as a whole. */
+  isPathLost(upstream: Upstream): boolean
   /** Called when a probe failed and the upstream sent nothing meanwhile. */
   onUnreachable(upstream: Upstream): void
   /** Called when an unreachable upstream accepts connections again. */
@@ -90,9 +92,10 @@
 
   /** Probes an upstream until it is reachable or no longer listed. */
   probeUntilReachable(upstream: Upstream): void {
-    const { clock, probe, isListed, onReachable } = this.options
+    const { clock, probe, isListed, isPathLost, onReachable } = this.options
     clock.after(REPROBE_INTERVAL, () => {
       if (!isListed(upstream)) return
+      if (isPathLost(upstream)) return this.probeUntilReachable(upstream)
       void probe(upstream).then(isReachable => {
         if (isReachable) onReachable(upstream)
         else this.probeUntilReachable(upstream)
--- a/packages/gateway/src/tasks/upstreamDirectory.ts
+++ b/packages/gateway/src/tasks/upstreamDirectory.ts
@@ -457,6 +457,7 @@
         nameHash: hashText(entry.id),
         connectionPool,
         health,
+        heardAt: -Infinity,
         inFlight: 0,
         load: 0,
         pendingPrefill: 0,
--- a/packages/gateway/src/tasks/upstreamOutcomes.ts
+++ b/packages/gateway/src/tasks/upstreamOutcomes.ts
@@ -15,6 +15,8 @@
   all(): Iterable<Upstream>
   /** Called when an upstream is ejected because it accepts no connections. */
   onUnreachable(upstream: Upstream): void
+  /** Called when an upstream took no connection, or one broke. */
+  onLost(upstream: Upstream): void
   /** Called when an upstream is ejected because another process answers at its address. */
   onGone(upstream: Upstream): void
 }
@@ -31,6 +33,7 @@
     const outcome =
       reported === 'unreachable' && !this.#hasHeardOthers(upstream) ? 'lost' : reported
     metrics.count('exchanges', outcome)
+    if (outcome === 'unreachable' || outcome === 'lost') this.options.onLost(upstream)
     const others = this.#othersBadShare(upstream)
     if (!recordExchange(upstream.health, outcome, others, clock.now())) return
     if (outcome === 'unreachable') onUnreachable(upstream)
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -13,10 +13,19 @@
 import type { SuspectUpdate } from '@yewkeel/box'
 
 /** Gossip encodes a state by its index, so that the order is part of the protocol between boxes. */
-export const GATEWAY_STATES = ['starting', 'serving', 'leaving'] as const
+export const GATEWAY_STATES = ['starting', 'serving', 'leaving', 'cut-off'] as const
 
+/** `cut-off`: without a path to the upstreams; serves its callers by way of other boxes. */
 export type GatewayState = (typeof GATEWAY_STATES)[number]
 
+/** What a box tells of its paths to upstreams, by service. */
+export interface PathReport {
+  /** Services whose upstreams it heard within the last second. */
+  heard: readonly string[]
+  /** Services to whose upstreams it has found its path to be lost. */
+  lost: readonly string[]
+}
+
 /** The report of a box about itself. */
 export interface OwnReport {
   state: GatewayState
@@ -24,6 +33,8 @@
   sequence: Milliseconds
   /** The box cannot reach the store. */
   isStoreLost: boolean
+  /** Its paths to upstreams; undefined from older boxes. */
+  paths?: PathReport
   /** What the box can bear beyond its present load; undefined from older boxes. */
   headroom?: HeadroomLevel
   /** Answer counts by version since the run began; empty unless a rollout is in progress. */
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -163,6 +163,10 @@
   readRequest(headers: RawHeaders): RequestFields
   /** Returns the caller's headers without hop-by-hop ones; those that the box sets are replaced. */
   writeRequest(headers: RawHeaders, fields: OutgoingFields): string[]
+  /**
+   * Returns the caller's headers for another box that takes the request over, without hop-by-hop ones.
+   */
+  writeRelayed(headers: RawHeaders, timeLeft: Milliseconds): string[]
   readResponse(headers: RawHeaders): ResponseFields
   /** Returns the headers of an upstream's response that are forwarded to the caller. */
   writeResponse(headers: RawHeaders): string[]
@@ -178,6 +182,8 @@
   target: string
   headers: RawHeaders
   body: Buffer
+  /** Another box passed the request on. */
+  isRelayed?: boolean
   /** The box had no memory for the body, so that the request has to be rejected. */
   isBodyUnread?: boolean
   receivedAt: Milliseconds
@@ -220,7 +226,8 @@
   watch(name: GaugeName, read: () => Partial<Record<string, number>>): void
 }
 
-export type GaugeName = 'epoch' | 'headroom' | 'held' | 'kept' | 'room' | 'slow' | 'waiting'
+export type GaugeName =
+  'epoch' | 'headroom' | 'held' | 'kept' | 'lostPaths' | 'room' | 'slow' | 'waiting'
 
 export type CounterName =
   | 'requests'
@@ -228,6 +235,7 @@
   | 'connections'
   | 'crashes'
   | 'exchanges'
+  | 'relayed'
   | 'retries'
   | 'ejections'
   | 'statements'
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -6,10 +6,12 @@
 import type { LoadSharing } from '../tasks/loadSharing.js'
 import type { ToldLoads } from '../tasks/toldLoads.js'
 import type { OperatorTask } from '../tasks/operatorTask.js'
+import type { PathWatch } from '../tasks/pathWatch.js'
 import type { PauseWatch } from '../tasks/pauseWatch.js'
 import type { ReachabilityWatch } from '../tasks/reachabilityWatch.js'
 import type { RoomAdmission } from '../tasks/roomAdmission.js'
 import type { RoomDemand } from '../tasks/roomDemand.js'
+import type { Relays } from '../tasks/relays.js'
 import type { RolloutTask } from '../tasks/rolloutTask.js'
 import type { UpstreamDirectory } from '../tasks/upstreamDirectory.js'
 import type { UpstreamRooms } from '../tasks/upstreamRooms.js'
@@ -60,6 +62,10 @@
   /** Requests that were in flight when an upstream crashed. */
   suspects: CrashSuspects
   pauses: PauseWatch
+  /** Whether this box has paths to the upstreams. */
+  paths: PathWatch
+  /** Other boxes that serve what this one has no path for. */
+  relays: Relays
   advertisements: AdvertisementTask
   /** Number of live boxes, including this one. */
   boxCount(): number
--- a/packages/gateway/src/types/upstream.ts
+++ b/packages/gateway/src/types/upstream.ts
@@ -16,6 +16,8 @@
   run: string
   connectionPool: ConnectionPool
   health: ExchangeHealth
+  /** When bytes last came from it to this box; before the first, not finite. */
+  heardAt: Milliseconds
   /** Exchanges of this box in flight. */
   inFlight: number
   /** The load that the upstream last reported, and this box's exchanges in flight at the time. */
--- a/packages/gateway/test/lostPaths.test.ts
+++ b/packages/gateway/test/lostPaths.test.ts
@@ -71,10 +71,10 @@
 
   it('serve the callers of that box as well as the others from 3 s after a cut that is silent or refuses', async () => {
     const [lost, ...others] = world.boxes
-    for (const mode of ['silent', 'refused'] satisfies CutMode[]) {
-      lost!.cut = undefined
+    for (const mode of ['silent', 'refused', 'reset'] satisfies CutMode[]) {
+      lost!.setCut(undefined)
       await callInTurn(world.boxes, CONTACT_TIME)
-      lost!.cut = mode
+      lost!.setCut(mode)
       await callInTurn(world.boxes, CONTACT_TIME)
       const [atLost, ...atOthers] = await callInTurn(world.boxes, 2_000)
       expect(servedShare(atOthers.flat()), mode).to.equal(1)
@@ -84,4 +84,66 @@
       )
     }
   })
+
+  it('list that box for callers again within 2 s after the paths are back', async () => {
+    const [lost, other] = world.boxes
+    lost!.setCut('refused')
+    await callInTurn(world.boxes, CONTACT_TIME)
+    expect(world.events.map(({ name }) => name)).to.include('path-lost')
+    lost!.setCut(undefined)
+    await callInTurn(world.boxes, 2_000)
+    expect(other!.gateway.addresses('ebene', 'caller')).to.include(lost!.identity.entryAddress)
+    const [atLost] = await callInTurn(world.boxes, 1_000)
+    expect(servedShare(atLost!)).to.equal(1)
+    expect(world.requestLog.at(-3)!.outcome).to.equal('delivered')
+  })
+
+  it('go on to list all boxes when the upstreams are down for all of them', async () => {
+    for (const upstream of upstreams) upstream.close()
+    for (const box of world.boxes) box.setCut('refused')
+    const answers = await callInTurn(world.boxes, CONTACT_TIME)
+    expect(servedShare(answers.flat())).to.equal(0)
+    for (const { gateway } of world.boxes)
+      expect(gateway.addresses('ebene', 'caller')).to.have.length(world.boxes.length)
+  })
+
+  it('serve all callers by way of the one box that has a path', async () => {
+    const [first, second] = world.boxes
+    await callInTurn(world.boxes, 1_000)
+    first!.setCut('reset')
+    second!.setCut('silent')
+    await callInTurn(world.boxes, CONTACT_TIME)
+    const answers = await callInTurn(world.boxes, 1_000)
+    expect(servedShare(answers.flat())).to.equal(1)
+  })
+
+  it('run a call that may not be repeated once, whatever box its caller asks', async () => {
+    const [lost] = world.boxes
+    await callInTurn(world.boxes, 1_000, '/once/')
+    lost!.setCut('refused')
+    await callInTurn(world.boxes, CONTACT_TIME, '/once/')
+    const ids = Array.from({ length: 20 }, (_, index) => `once-${index}`)
+    const answers = ids.map(id => call(lost!, '/once/', id))
+    await world.advance(1_000)
+    expect(servedShare(await Promise.all(answers))).to.equal(1)
+    const runs = upstreams.flatMap(({ requests }) => requests.map(({ headers }) => headers['id']))
+    for (const id of ids)
+      expect(
+        runs.filter(run => run === id),
+        id,
+      ).to.have.length(1)
+  })
+
+  it('pass a request on once at most', async () => {
+    const [first, second, third] = world.boxes
+    await callInTurn(world.boxes, 1_000)
+    for (const box of [first!, second!]) box.setCut('refused')
+    await callInTurn(world.boxes, CONTACT_TIME)
+    third!.setCut('refused')
+    const before = world.requestLog.length
+    const answer = call(first!)
+    await world.advance(2_000)
+    expect((await answer).status).to.equal(503)
+    expect(world.requestLog.length - before).to.be.at.most(2)
+  })
 })
--- a/packages/gateway/test/reachability.test.ts
+++ b/packages/gateway/test/reachability.test.ts
@@ -73,6 +73,7 @@
     metrics: createGatewayMetrics(),
     all: () => directory.all(),
     onGone: () => {},
+    onLost: () => {},
     onUnreachable: upstream => void unreachable.push(upstream.listed.id),
   })
   directory.list.apply([listed('one'), listed('two')], { revision: 1 })
@@ -114,6 +115,7 @@
         return Promise.resolve(answers.shift() ?? true)
       },
       isListed: () => true,
+      isPathLost: () => false,
       onUnreachable: () => void reported.push('unreachable'),
       onReachable: () => void reported.push('reachable'),
     })
--- a/packages/gateway/test/sharingPlan.test.ts
+++ b/packages/gateway/test/sharingPlan.test.ts
@@ -16,6 +16,7 @@
   sequence: 1,
   isStoreLost: false,
   headroom: 5,
+  paths: undefined,
   answers: [],
   lastReportAt: 0,
 })
--- a/packages/gateway/test/simulatedDialect.ts
+++ b/packages/gateway/test/simulatedDialect.ts
@@ -25,6 +25,7 @@
       ...readFields(name => headerOf(headers, name)),
     }),
     writeRequest: headers => [...headers],
+    writeRelayed: headers => [...headers],
     readResponse(headers) {
       const limit = numericHeaderOf(headers, 'limit')
       const retryAfter = numericHeaderOf(headers, 'retry-after')
--- a/packages/gateway/test/testBoxes.ts
+++ b/packages/gateway/test/testBoxes.ts
@@ -23,16 +23,19 @@
 } from './testGateway.js'
 import type { Configuration } from '@yewkeel/decisions'
 
-/** How a box loses its paths: `silent` lets nothing through, `refused` only open connections. */
-export type CutMode = 'silent' | 'refused'
+/**
+ * How a box loses its paths: `silent` lets nothing through, `refused` only open connections, `reset`
+ * breaks these, too.
+ */
+export type CutMode = 'silent' | 'refused' | 'reset'
 
 /** One of several boxes on a manual clock, with a real entry on loopback. */
 export interface TestBox {
   identity: PeerIdentity
   gateway: Gateway
   entry: EntryServer
-  /** The paths to all upstreams are lost while it is set. */
-  cut: CutMode | undefined
+  /** Cuts the paths to all upstreams, or heals them. */
+  setCut(mode: CutMode | undefined): void
 }
 
 /** Several boxes before the same upstreams. */
@@ -65,7 +68,14 @@
   const boxes = await Promise.all(
     Array.from({ length: count }, async (_, index): Promise<TestBox> => {
       const name = `box-${index + 1}`
-      const box: Partial<TestBox> = { cut: undefined }
+      const pools: CuttablePool[] = []
+      let cut: CutMode | undefined
+      const box: Partial<TestBox> = {
+        setCut(mode) {
+          cut = mode
+          if (mode === 'reset') for (const pool of pools) pool.breakAll()
+        },
+      }
       const entry = await startEntryServer({
         listen: '127.0.0.1:0',
         isReady: () => true,
@@ -99,11 +109,19 @@
         dialect: testDialect,
         store,
         transport: network.join(identity),
-        openConnectionPool: address =>
-          new CuttablePool(new UpstreamConnectionPool(address, clock), clock, () => box.cut),
-        probe: async address => {
-          if (!box.cut) return probeConnection(address, clock)
-          await new Promise<void>(resolve => clock.after(CUT_CONNECT_TIME, resolve))
+        openConnectionPool(address) {
+          const pool = new CuttablePool(
+            new UpstreamConnectionPool(address, clock),
+            clock,
+            () => cut,
+          )
+          pools.push(pool)
+          return pool
+        },
+        async probe(address) {
+          if (!cut) return probeConnection(address, clock)
+          const time = cut === 'silent' ? CUT_CONNECT_TIME : 0
+          await new Promise<void>(resolve => clock.after(time, resolve))
           return false
         },
         onConfiguration: () => {},
@@ -134,6 +152,8 @@
 
 /** Loses requests and answers while the path is cut. */
 class CuttablePool implements ConnectionPool {
+  readonly #running = new Set<() => void>()
+
   constructor(
     private readonly pool: UpstreamConnectionPool,
     private readonly clock: ManualClock,
@@ -150,7 +170,7 @@
 
   send(request: Parameters<ConnectionPool['send']>[0], listener: ExchangeListener) {
     const mode = this.cut()
-    if (mode === undefined) return this.pool.send(request, this.#unlessSilent(listener))
+    if (mode === undefined) return this.#sendThrough(request, listener)
     const timer = this.clock.after(mode === 'silent' ? CUT_CONNECT_TIME : 0, () =>
       listener.onFailure(new UnreachableError(), false),
     )
@@ -161,6 +181,32 @@
     this.pool.retire()
   }
 
+  /** Breaks the exchanges that run. */
+  breakAll(): void {
+    for (const breakOff of this.#running) breakOff()
+  }
+
+  #sendThrough(request: Parameters<ConnectionPool['send']>[0], listener: ExchangeListener) {
+    const exchange = this.pool.send(request, {
+      ...this.#unlessSilent(listener),
+      onEnd: () => {
+        this.#running.delete(breakOff)
+        this.#unlessSilent(listener).onEnd()
+      },
+      onFailure: (error, wasSent) => {
+        this.#running.delete(breakOff)
+        this.#unlessSilent(listener).onFailure(error, wasSent)
+      },
+    })
+    const breakOff = () => {
+      this.#running.delete(breakOff)
+      exchange.cancel()
+      this.clock.after(0, () => listener.onFailure(new Error('reset by the cut'), true))
+    }
+    this.#running.add(breakOff)
+    return exchange
+  }
+
   #unlessSilent(listener: ExchangeListener): ExchangeListener {
     const passes = () => this.cut() !== 'silent'
     return {
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -43,6 +43,14 @@
     if (fields.lastEventId !== undefined) forwarded.push('last-event-id', fields.lastEventId)
     return forwarded
   },
+  writeRelayed(headers, timeLeft) {
+    const written: string[] = []
+    for (const name of ['id', 'key', 'model', 'tokens']) {
+      const value = valueOf(headers, name)
+      if (value !== undefined) written.push(name, value)
+    }
+    return [...written, 'time-left', String(timeLeft)]
+  },
   readResponse(headers) {
     const get = (name: string) => valueOf(headers, name)
     const id = get('id')
