--- a/packages/gateway/test/lostPaths.test.ts
+++ b/packages/gateway/test/lostPaths.test.ts
@@ -28,8 +28,12 @@
   })
 }
 
+/** Upstreams answer no call to this path. */
+const HELD_PATH = '/desk/held'
+
 const startDesk = (id: string) =>
   startUpstream(id, (request, response) => {
+    if (request.url === HELD_PATH) return
     response.setHeader('id', String(request.headers['id']))
     response.setHeader('signed', id)
     response.end(`answer of ${id}`)
@@ -146,4 +150,16 @@
     expect((await answer).status).to.equal(503)
     expect(world.requestLog.length - before).to.be.at.most(2)
   })
+
+  it('hold no crash against the requests that were at upstreams when that box lost its paths', async () => {
+    const [lost] = world.boxes
+    await callInTurn(world.boxes, 1_000)
+    const answers = Array.from({ length: 8 }, () => call(lost!, HELD_PATH))
+    await world.advance(100)
+    lost!.setCut('reset')
+    await world.advance(2_000)
+    await Promise.all(answers)
+    const events = world.events.filter(({ name }) => name === 'upstream-crashed')
+    expect(events).to.eql([])
+  })
 })
