A path is checked at the upstreams heard last, and fleets of the tests pass requests on in memory

Cause: three upstreams drawn by chance were asked; with seven of ten down all three were, in three of ten checks, and the box took its path for lost. Requests then went to entries that the simulated fleet did not have. Change: six are asked, three of them the last that were heard, which live where any do. The boxes of simulated fleets hand requests to each other in memory, so that played load knows the hop. Ruled out: bytes that came lately as the only proof, since open connections may live on while new ones are refused.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -15,7 +15,11 @@
 } from '@yewkeel/decisions'
 import { probeConnection } from './node/connectTimeout.js'
 import { processorTimeOfProcess } from './node/processorTime.js'
-import { UpstreamConnectionPool, type OpenConnectionPool } from './node/upstreamConnectionPool.js'
+import {
+  UpstreamConnectionPool,
+  type ConnectionPool,
+  type OpenConnectionPool,
+} from './node/upstreamConnectionPool.js'
 import { handleCaller } from './requests/handleCaller.js'
 import { StallWatch } from './requests/stallWatch.js'
 import { QuarantineTask } from './tasks/quarantineTask.js'
@@ -74,6 +78,11 @@
    * @default opens TCP connections
    */
   openConnectionPool?: OpenConnectionPool
+  /**
+   * Opens the connections to the entry of another box.
+   * @default opens TCP connections
+   */
+  openBoxConnections?(address: string): ConnectionPool
   /**
    * Processor time that this process has used so far.
    * @default that of the running process
@@ -285,7 +294,12 @@
   })
   const probe = ({ listed }: Upstream) =>
     options.probe?.(listed.address) ?? probeConnection(listed.address, clock)
-  const relays = new Relays({ clock, random, live: () => peers.live() })
+  const relays = new Relays({
+    random,
+    live: () => peers.live(),
+    openConnections: address =>
+      options.openBoxConnections?.(address) ?? new UpstreamConnectionPool(address, clock),
+  })
   const paths: PathWatch = new PathWatch({
     clock,
     random,
--- a/packages/gateway/src/tasks/pathWatch.ts
+++ b/packages/gateway/src/tasks/pathWatch.ts
@@ -31,8 +31,11 @@
   onChange(): void
 }
 
-/** Upstreams that are asked before a path counts as lost: one of them may be down by itself. */
-const CHECKED_UPSTREAMS = 3
+/**
+ * Upstreams that are asked before a path counts as lost, since many may be down by themselves: those
+ * heard last, which are the likeliest to live, and as many drawn by chance.
+ */
+const CHECKED_UPSTREAMS = 6
 /** How often a lost path is probed, with one connection. */
 const PROBE_INTERVAL: Milliseconds = 400
 /** Within this, bytes of an upstream show that it is heard. */
@@ -83,6 +86,16 @@
     if (recordPathFailure(path, run, count, clock.now())) void this.#check(service, path)
   }
 
+  /**
+   * Whether some upstream, of whatever service, can be reached; true where there is none to ask but
+   * the given one.
+   */
+  async hasPathBeside(upstream: Upstream): Promise<boolean> {
+    const others = [...this.options.all()].filter(other => other !== upstream && isReady(other))
+    if (others.length === 0) return true
+    return this.#opensOneOf(this.#drawByHeard(others))
+  }
+
   async #check(service: string, path: ServicePath): Promise<void> {
     const { clock, log, othersHear, onChange } = this.options
     const asked = this.#upstreamsToAsk(service, path)
@@ -109,10 +122,19 @@
 
   /** Those that have not failed first. */
   #upstreamsToAsk(service: string, { failedAt }: ServicePath): Upstream[] {
-    const drawn = this.#draw(this.#readyUpstreams(service), Infinity)
-    const untried = drawn.filter(({ run }) => !failedAt.has(run))
-    const failed = drawn.filter(({ run }) => failedAt.has(run))
-    return [...untried, ...failed].slice(0, CHECKED_UPSTREAMS)
+    const ready = this.#readyUpstreams(service)
+    const untried = ready.filter(({ run }) => !failedAt.has(run))
+    const asked = this.#drawByHeard(untried)
+    if (asked.length === CHECKED_UPSTREAMS) return asked
+    const failed = ready.filter(({ run }) => failedAt.has(run))
+    return [...asked, ...this.#draw(failed, CHECKED_UPSTREAMS - asked.length)]
+  }
+
+  #drawByHeard(upstreams: readonly Upstream[]): Upstream[] {
+    const ranked = [...upstreams].sort((left, right) => right.heardAt - left.heardAt)
+    const latest = ranked.slice(0, CHECKED_UPSTREAMS / 2)
+    const others = ranked.slice(CHECKED_UPSTREAMS / 2)
+    return [...latest, ...this.#draw(others, CHECKED_UPSTREAMS - latest.length)]
   }
 
   /** Resolves with the first that opens, or when none did. */
@@ -152,7 +174,7 @@
     for (const { health } of this.#readyUpstreams(service)) recordReconnected(health)
   }
 
-  #draw(upstreams: Upstream[], count: number): Upstream[] {
+  #draw(upstreams: readonly Upstream[], count: number): Upstream[] {
     const { random } = this.options
     const ranked = upstreams.map(upstream => ({ upstream, rank: random() }))
     ranked.sort((left, right) => left.rank - right.rank)
--- a/packages/gateway/src/tasks/relays.ts
+++ b/packages/gateway/src/tasks/relays.ts
@@ -1,12 +1,13 @@
-import type { Clock, Random } from '@yewkeel/decisions'
-import { UpstreamConnectionPool, type ConnectionPool } from '../node/upstreamConnectionPool.js'
+import type { Random } from '@yewkeel/decisions'
+import type { ConnectionPool } from '../node/upstreamConnectionPool.js'
 import type { KnownBox } from './knownBoxes.js'
 
 export interface RelaysOptions {
-  clock: Clock
   random: Random
   /** The other boxes that are alive. */
   live(): KnownBox[]
+  /** Opens connections to the entry of a box. */
+  openConnections(address: string): ConnectionPool
 }
 
 /** The boxes by way of which requests are served while this one has no path to their upstreams. */
@@ -35,7 +36,7 @@
   connectionsTo(address: string): ConnectionPool {
     const known = this.#connections.get(address)
     if (known) return known
-    const connections = new UpstreamConnectionPool(address, this.options.clock)
+    const connections = this.options.openConnections(address)
     this.#connections.set(address, connections)
     return connections
   }
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -15,6 +15,8 @@
   UNKNOWN_MACHINE,
   createGateway,
   createGatewayMetrics,
+  UnreachableError,
+  type ConnectionPool,
   type BoxEntry,
   type Dialect,
   type Gateway,
@@ -192,6 +194,14 @@
     }
   }
 
+  /** The box that listens on an address, unless its messages are lost. */
+  function boxAt(address: string): FleetBox | undefined {
+    return boxes.find(
+      ({ identity: { entryAddress, box } }) =>
+        entryAddress === address && !network.partitioned.has(box),
+    )
+  }
+
   function writeRollout(
     status: Omit<RolloutStatus, keyof StoreRevision>,
     expected: StoreRevision,
@@ -243,6 +253,7 @@
         metrics: createGatewayMetrics(),
         dialect: dialect ?? ({} as Dialect),
         ...(openConnectionPool && { openConnectionPool, probe }),
+        openBoxConnections: address => createBoxConnections(clock, () => boxAt(address)),
         store: createBoxStore(() => box),
         transport: network.join(identity),
         onConfiguration() {},
@@ -294,6 +305,54 @@
   }
 }
 
+/** Connections to the entry of a box of the fleet, by calls. */
+function createBoxConnections(
+  clock: ManualClock,
+  target: () => FleetBox | undefined,
+): ConnectionPool {
+  return {
+    open: 0,
+    idle: 0,
+    retire() {},
+    send({ method, target: path, headers, body }, listener) {
+      let isOver = false
+      let onDisconnect: ((by: 'box' | 'caller') => void) | undefined
+      const unlessOver = (work: () => void) => void (isOver || work())
+      const end = (work: () => void) =>
+        unlessOver(() => {
+          isOver = true
+          work()
+        })
+      clock.after(NETWORK_DELAY, () => {
+        const box = target()
+        if (!box) return end(() => listener.onFailure(new UnreachableError(), false))
+        const request = { method, host: '127.0.0.1', target: path, headers, body }
+        box.gateway.handle(
+          { ...request, receivedAt: clock.now() },
+          {
+            start: (status, answered) => unlessOver(() => listener.onHead(status, answered)),
+            write: chunk => unlessOver(() => listener.onChunk(chunk)),
+            end(chunk) {
+              if (chunk !== undefined) unlessOver(() => listener.onChunk(Buffer.from(chunk)))
+              end(() => listener.onEnd())
+            },
+            abort: () => end(() => listener.onFailure(new Error('the answer broke off'), true)),
+            onDisconnect: callback => void (onDisconnect = callback),
+          },
+        )
+      })
+      return {
+        cancel() {
+          isOver = true
+          onDisconnect?.('caller')
+        },
+        pause() {},
+        resume() {},
+      }
+    },
+  }
+}
+
 /** Bytes of messages by sender and type, counted once `isCounting` is set. */
 export class SentBytes {
   isCounting = false
