A crash is held against a request only where this box still reaches other upstreams

What callers saw: streams of good requests refused with 502 since upstreams had ended under them, some at boxes that were never cut. Cause: a connection that breaks beside a refused probe counted as the end of the upstream's process; a box that lost its paths told all others of up to 24 such crashes, and a request was condemned after three. Change: before it counts, the box asks other upstreams for a connection; if none opens, its own path is gone, and the line crash-not-counted is written. Ruled out: to count no crash while a path is doubted, since killers crash several upstreams together too.

--- a/packages/gateway/src/requests/crashProbe.ts
+++ b/packages/gateway/src/requests/crashProbe.ts
@@ -33,9 +33,9 @@
    */
   probe(attempt: SentAttempt, onAlive: () => void): void {
     const { reachability, clock } = this.services
-    const probing = reachability.check(attempt.upstream).then(state => {
+    const probing = reachability.check(attempt.upstream).then(async state => {
       if (state === 'open') onAlive()
-      else if (state === 'refused') this.#recordCrash(attempt)
+      else if (state === 'refused' && (await this.#hasPath(attempt))) this.#recordCrash(attempt)
     })
     this.settled = new Promise(resolve => {
       const timer = clock.after(CRASH_PROBE_TIMEOUT, resolve)
@@ -46,6 +46,13 @@
     })
   }
 
+  /** Whether it was the upstream that ended, and not this box's path to all of them. */
+  async #hasPath({ upstream }: SentAttempt): Promise<boolean> {
+    const hasPath = await this.services.paths.hasPathBeside(upstream)
+    if (!hasPath) this.services.log.event('crash-not-counted', { upstream: upstream.run })
+    return hasPath
+  }
+
   /** Ignores planned exits, and connections that may have died while this box was paused. */
   #recordCrash({ upstream, send, sentAt }: SentAttempt): void {
     const { log, metrics, clock, upstreams, pauses } = this.services
