Requests at an upstream that ends share one check of this box's path

Cause: each request that was at a crashed upstream asked six others for a connection, 180 for 30 streams; probes are priced. Change: the check is shared for 200 ms. Ruled out: a check per upstream, since a cut hits them together. Before and after: the tests of lost paths and of crashes pass; the number of probes is by reading.

--- a/packages/gateway/src/tasks/pathWatch.ts
+++ b/packages/gateway/src/tasks/pathWatch.ts
@@ -38,6 +38,8 @@
 const CHECKED_UPSTREAMS = 6
 /** How often a lost path is probed, with one connection. */
 const PROBE_INTERVAL: Milliseconds = 400
+/** All requests at an upstream that ends share one check of the path. */
+const BESIDE_CHECK_LIFETIME: Milliseconds = 200
 /** Within this, bytes of an upstream show that it is heard. */
 const HEARD_WITHIN: Milliseconds = 1_000
 
@@ -48,6 +50,7 @@
 export class PathWatch {
   readonly #paths = new Map<string, ServicePath>()
   #isProbing = false
+  #besideCheck: { at: Milliseconds; hasPath: Promise<boolean> } | undefined
 
   constructor(private readonly options: PathWatchOptions) {}
 
@@ -91,9 +94,14 @@
    * the given one.
    */
   async hasPathBeside(upstream: Upstream): Promise<boolean> {
+    const now = this.options.clock.now()
+    if (this.#besideCheck && now - this.#besideCheck.at < BESIDE_CHECK_LIFETIME)
+      return this.#besideCheck.hasPath
     const others = [...this.options.all()].filter(other => other !== upstream && isReady(other))
     if (others.length === 0) return true
-    return this.#opensOneOf(this.#drawByHeard(others))
+    const hasPath = this.#opensOneOf(this.#drawByHeard(others))
+    this.#besideCheck = { at: now, hasPath }
+    return hasPath
   }
 
   async #check(service: string, path: ServicePath): Promise<void> {
