The path to a service is checked once a second at most

Change: after a check that found the path open the next comes a second later at the earliest. Ruled out: to count resets less than refused connections, since a cut may only reset.

--- a/packages/decisions/src/paths/servicePath.ts
+++ b/packages/decisions/src/paths/servicePath.ts
@@ -12,6 +12,8 @@
   state: PathState
   /** When each upstream last failed, since one last answered. */
   failedAt: Map<string, Milliseconds>
+  /** When a check last found the path to be open. */
+  checkedAt: Milliseconds
   /** Since the path was found to be lost or open. */
   since: Milliseconds
   /** Probes in a row that opened a connection since the loss. */
@@ -24,13 +26,22 @@
 const FAILURE_WINDOW: Milliseconds = 600
 /** One upstream that fails is its own matter; two that fail together may share a path. */
 const MIN_FAILED_UPSTREAMS = 2
+/** Each check costs connections, and upstreams that break some of their answers fail all the time. */
+const MIN_CHECK_INTERVAL: Milliseconds = 1_000
 /** A path that is lost again this soon after its return is flapping. */
 const FLAP_WINDOW: Milliseconds = 5_000
 /** Bounds how long a path that has become stable is still avoided. */
 const MAX_NEEDED_PROBES = 4
 
 export function createServicePath(now: Milliseconds): ServicePath {
-  return { state: 'open', failedAt: new Map(), since: now, opened: 0, neededProbes: 1 }
+  return {
+    state: 'open',
+    failedAt: new Map(),
+    checkedAt: -Infinity,
+    since: now,
+    opened: 0,
+    neededProbes: 1,
+  }
 }
 
 /**
@@ -47,6 +58,7 @@
   for (const [id, at] of path.failedAt) if (now - at > FAILURE_WINDOW) path.failedAt.delete(id)
   const isSuspect = path.failedAt.size >= Math.min(MIN_FAILED_UPSTREAMS, upstreamCount)
   if (path.state !== 'open' || !isSuspect) return false
+  if (now - path.checkedAt < MIN_CHECK_INTERVAL) return false
   path.state = 'doubted'
   return true
 }
@@ -55,7 +67,10 @@
 export function resolveDoubt(path: ServicePath, isLost: boolean, now: Milliseconds): void {
   path.failedAt.clear()
   path.state = isLost ? 'lost' : 'open'
-  if (!isLost) return
+  if (!isLost) {
+    path.checkedAt = now
+    return
+  }
   const isFlapping = now - path.since < FLAP_WINDOW
   path.neededProbes = isFlapping ? Math.min(MAX_NEEDED_PROBES, 2 * path.neededProbes) : 1
   path.opened = 0
--- a/packages/decisions/test/servicePath.test.ts
+++ b/packages/decisions/test/servicePath.test.ts
@@ -48,6 +48,17 @@
     }
   })
 
+  it('is checked once a second at most while upstreams go on to fail', () => {
+    const path = createServicePath(0)
+    let checks = 0
+    for (let now = 1_000; now < 6_000; now += 50) {
+      if (!recordPathFailure(path, `upstream ${now}`, UPSTREAM_COUNT, now)) continue
+      checks++
+      resolveDoubt(path, false, now)
+    }
+    expect(checks).to.equal(5)
+  })
+
   it('is open after a check that opened a connection', () => {
     const path = createServicePath(0)
     recordPathFailure(path, 'one', UPSTREAM_COUNT, 1_000)
