Soak: boxes lose their paths to all upstreams, in seeds from 600 on

Change: a module that is preloaded into a box refuses connections to the upstreams' address and resets open ones while it is told so by a signal; in every third seed open connections live on. One to three cuts a seed of up to four fifths of the boxes, beside all other faults, crashes, rollouts, advertisements and returns of the store. Ruled out: proxies, which open a connection before they can refuse it, and which all boxes share. The share that boxes without a path serve is not checked by the soak yet.

--- a/packages/soak/src/checks/tolerances.ts
+++ b/packages/soak/src/checks/tolerances.ts
@@ -13,6 +13,8 @@
 export const affectsBoxes = (kind: string) => !kind.startsWith('upstream') && kind !== 'caller-link'
 /** The kind of the faults in which the store comes back from a copy. */
 export const STORE_RETURNS = 'store-returns'
+/** The kind of the faults in which a box loses its paths to all upstreams. */
+export const PATH_CUT = 'path-cut'
 /** Time that the store was away between `from` and `until` before it came back from a copy. */
 export function storeAbsence(
   { faults }: Evidence,
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -13,7 +13,12 @@
 import { FAULT_KINDS, PLANNED_CHANGES, type ProxiedBox, type World } from './faults/faultKinds.js'
 import { startLoopbackProxy } from './faults/loopbackProxy.js'
 import { planFaults, type PlannedFault } from './faults/planFaults.js'
-import { createBoxProcess, findFreePorts, type SoakBox } from './world/boxProcess.js'
+import {
+  createBoxProcess,
+  findFreePorts,
+  type BoxPreloads,
+  type SoakBox,
+} from './world/boxProcess.js'
 import { Callers, type CallerTarget } from './world/callers.js'
 import {
   Crashes,
@@ -28,6 +33,13 @@
   type PlannedAdvertisement,
 } from './world/advertisements.js'
 import { planStoreReturns, StoreReturns, type PlannedStoreReturn } from './world/storeReturns.js'
+import {
+  cutLetsConnectionsLive,
+  FIRST_SEED_WITH_PATH_CUTS,
+  PathCuts,
+  planPathCuts,
+  type PlannedPathCut,
+} from './world/pathCuts.js'
 import { BoxWatch } from './world/boxWatch.js'
 import {
   HARD_LOAD_UPSTREAMS,
@@ -60,6 +72,8 @@
   advertisements?: readonly PlannedAdvertisement[]
   /** Replaces the returns of the store from a copy planned for the seed. */
   storeReturns?: readonly PlannedStoreReturn[]
+  /** Replaces the lost paths planned for the seed. */
+  pathCuts?: readonly PlannedPathCut[]
   /** Replaces the hard load planned for the seed, if any. */
   hardLoad?: PlannedHardLoad
 }
@@ -151,6 +165,12 @@
     },
     writeUpstreamRows: () => upstreams.writeRowsAgain(),
   })
+  const pathCuts = new PathCuts({
+    planned: options.pathCuts ?? planPathCuts(seed, seconds),
+    boxes: boxes.map(({ process }) => process),
+    evidence,
+    now,
+  })
   const rollout = planned && new Rollout({ planned, rows, upstreams, evidence, now })
   try {
     callers.start()
@@ -162,7 +182,9 @@
     crashes?.start()
     advertisements.start()
     storeReturns.start()
+    pathCuts.start()
     await injectFaults(plan, { boxes, upstreams, rows, random, ...operators }, evidence, now)
+    pathCuts.stop()
     evidence.faultsEndedAt = now()
     await load?.stop()
     await sleep(FAULT_FREE_MS)
@@ -252,12 +274,14 @@
   return `127.${1 + (process.pid % 250)}.${seed % 256}.${1 + box}`
 }
 
-/**
- * Whether a pause of a box simulates a suspension of its machine. Never for seeds below
- * `FIRST_SEED_WITH_CRASHES`, so that regressions replay unchanged.
- */
-function pausesAsSuspension(seed: number): boolean {
-  return seed >= FIRST_SEED_WITH_CRASHES && seed % 3 === 0
+/** What is preloaded into the boxes of a seed; nothing in low seeds, so that regressions replay unchanged. */
+function preloadsOf(seed: number): BoxPreloads {
+  const upstreamHost = loopbackAddress(seed, 0)
+  const hasCuts = seed >= FIRST_SEED_WITH_PATH_CUTS
+  return {
+    isSuspended: seed >= FIRST_SEED_WITH_CRASHES && seed % 3 === 0,
+    ...(hasCuts && { severable: { upstreamHost, livesOn: cutLetsConnectionsLive(seed) } }),
+  }
 }
 
 async function startBoxes(
@@ -276,7 +300,7 @@
     const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length]!
     const box = `box-${index}`
     const place = { box, dataCentre, ip, ports, storeAddress: storeProxy.address }
-    const process: SoakBox = createBox(program, place, bounds, pausesAsSuspension(seed))
+    const process: SoakBox = createBox(program, place, bounds, preloadsOf(seed))
     process.start()
     boxes.push({ process, callerProxy, storeProxy })
     targets.push({
--- a/packages/soak/src/world/boxProcess.ts
+++ b/packages/soak/src/world/boxProcess.ts
@@ -24,6 +24,8 @@
   resume(): void
   /** Makes it read its settings again. */
   reload(): void
+  /** Cuts its paths to the upstreams' machine, or heals them. Returns whether the process could be told. */
+  setPathsCut(isCut: boolean): boolean
   pid(): number | undefined
   /** Undefined while it doesn't run. */
   residentMegabytes(): number | undefined
@@ -37,20 +39,29 @@
 
 /** Preloaded module that stops the monotonic clock of a paused process. */
 const SUSPENDABLE_CLOCK = fileURLToPath(new URL('../../../suspendable.cjs', import.meta.url))
+/** Preloaded module that cuts the paths to the upstreams' machine at SIGUSR2. */
+const SEVERABLE_PATHS = fileURLToPath(new URL('../../../severable.cjs', import.meta.url))
+/** A process that has run for so long listens to SIGUSR2, which would end it before. */
+const PRELOAD_MS = 1_000
 /** Memory options of a box on the platform. */
 const MEMORY_OPTIONS = ['--max-old-space-size=120', '--max-semi-space-size=2']
 /** Characters. */
 const MAX_OUTPUT_LENGTH = 200_000
 
-/**
- * Creates a box that runs `program` as a child process with its own settings file. `isSuspended`: a
- * pause simulates a suspension of the machine, so the monotonic clock stops.
- */
+/** What a seed preloads into its boxes. */
+export interface BoxPreloads {
+  /** A pause simulates a suspension of the machine, so the monotonic clock stops. */
+  isSuspended?: boolean
+  /** The paths to the upstreams' machine can be cut; `livesOn`: open connections outlive that. */
+  severable?: { upstreamHost: string; livesOn: boolean }
+}
+
+/** Creates a box that runs `program` as a child process with its own settings file. */
 export function createBoxProcess(
   program: string,
   place: BoxAddresses,
   bounds: DeploymentBounds,
-  isSuspended = false,
+  { isSuspended = false, severable }: BoxPreloads = {},
 ): SoakBox {
   const folder = mkdtempSync(join(tmpdir(), 'yewkeel-soak-'))
   const file = join(folder, 'settings.toml')
@@ -59,6 +70,8 @@
   let exited = Promise.resolve()
   let isDisposed = false
   let isTerminated = false
+  let startedAt = 0
+  let arePathsCut = false
   let unexpectedExits = 0
   let output = ''
 
@@ -77,11 +90,20 @@
       const isRunning = child && child.exitCode === null && child.signalCode === null
       if (isRunning || isDisposed) return
       isTerminated = false
-      const preload = isSuspended ? ['--require', SUSPENDABLE_CLOCK] : []
+      arePathsCut = false
+      startedAt = performance.now()
+      const preload = [
+        ...(isSuspended ? ['--require', SUSPENDABLE_CLOCK] : []),
+        ...(severable ? ['--require', SEVERABLE_PATHS] : []),
+      ]
+      const cutSettings = severable && {
+        SOAK_UPSTREAM_HOST: severable.upstreamHost,
+        SOAK_CUT_MODE: severable.livesOn ? 'refuse' : 'reset',
+      }
       const options = bounds.memoryMegabytes === undefined ? [] : MEMORY_OPTIONS
       const spawned = spawn(process.execPath, [...options, ...preload, program], {
         stdio: ['ignore', 'pipe', 'pipe'],
-        env: { ...process.env, YEWKEEL_BOOT: file },
+        env: { ...process.env, ...cutSettings, YEWKEEL_BOOT: file },
       })
       child = spawned
       const append = (bytes: Buffer) =>
@@ -98,6 +120,13 @@
     pause: () => void child?.kill('SIGSTOP'),
     resume: () => void child?.kill('SIGCONT'),
     reload: () => void child?.kill('SIGHUP'),
+    setPathsCut(isCut) {
+      const isRunning = child && child.exitCode === null && child.signalCode === null
+      const canHear = isRunning && severable && performance.now() - startedAt > PRELOAD_MS
+      if (!canHear || isCut === arePathsCut) return false
+      arePathsCut = isCut
+      return child!.kill('SIGUSR2')
+    },
     pid: () => child?.pid,
     residentMegabytes: () =>
       child?.pid === undefined ? undefined : readResidentMegabytes(child.pid),
--- a/packages/soak/test/brokenBox.ts
+++ b/packages/soak/test/brokenBox.ts
@@ -198,6 +198,7 @@
     pause() {},
     resume() {},
     reload() {},
+    setPathsCut: () => false,
     pid: () => undefined,
     residentMegabytes: () => (violated === 'memory' ? TOO_MUCH_MEMORY_MEGABYTES : 0),
     unexpectedExits: () => (violated === 'box-ended' ? 1 : 0),
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -7,6 +7,7 @@
   FIRST_SEED_WITH_HARD_LOAD,
   planFaults,
   planHardLoad,
+  planPathCuts,
   planStoreReturns,
   runSeed,
   type Attempt,
@@ -328,6 +329,14 @@
   })
 })
 
+describe('planPathCuts', () => {
+  it('plans none for seeds that failed before there were any, and one to three for later ones', () => {
+    expect(planPathCuts(599, 8)).to.deep.equal([])
+    const counts = Array.from({ length: 40 }, (_, index) => planPathCuts(600 + index, 8).length)
+    expect(new Set(counts)).to.deep.equal(new Set([1, 2, 3]))
+  })
+})
+
 describe('createOrderedDelay', () => {
   it('runs work in the order of submission when the delay drops to zero', async () => {
     for (let round = 0; round < 20; round++) {
