--- a/packages/gateway/src/requests/relayToBox.ts
+++ b/packages/gateway/src/requests/relayToBox.ts
@@ -1,7 +1,7 @@
-import type { Milliseconds } from '@yewkeel/decisions'
+import type { Milliseconds, Timer } from '@yewkeel/decisions'
 import type { Exchange } from '../node/upstreamConnectionPool.js'
 import type { CallerResponse, RawHeaders } from '../types/ports.js'
-import type { GatewayServices } from '../types/services.js'
+import type { GatewayServices, OpenRequest } from '../types/services.js'
 import type { AdmittedRequest } from './admitCaller.js'
 import { NOT_RUN_STATUS } from './logRequest.js'
 import { withRelayMark } from './relayMark.js'
@@ -27,7 +27,8 @@
   new BoxRelay(services, admitted, answer).start()
 }
 
-class BoxRelay {
+class BoxRelay implements OpenRequest {
+  /** Names of the boxes that were asked. */
   readonly #tried: string[] = []
   #exchange: Exchange | undefined
   #isOver = false
@@ -35,6 +36,8 @@
   #hasBegun = false
   /** The other box may have run the request. */
   #wasSent = false
+  #status: number | undefined
+  #deadline: Timer | undefined
 
   constructor(
     private readonly services: GatewayServices,
@@ -44,8 +47,7 @@
 
   start(): void {
     const { services, admitted, answer } = this
-    const deadline = services.clock.after(this.#timeLeft, () => this.cutOff('out of time'))
-    this.#onOver = () => deadline.cancel()
+    this.#deadline = services.clock.after(this.#timeLeft, () => this.cutOff('out of time'))
     services.openRequests.add(this)
     answer.onDisconnect(() => this.#finish('caller-left', undefined))
     services.metrics.count('relayed', admitted.service)
@@ -57,8 +59,6 @@
     this.#fail(reason)
   }
 
-  #onOver: () => void = () => undefined
-
   get #timeLeft(): Milliseconds {
     return this.admitted.deadline - this.services.clock.now()
   }
@@ -102,8 +102,6 @@
     this.answer.start(status, [...dialect.writeResponse(head), ...lengthOf(head)], isFramed)
   }
 
-  #status: number | undefined
-
   #end(): void {
     this.answer.end()
     this.#finish('relayed', this.#status)
@@ -136,7 +134,7 @@
   #finish(outcome: string, status: number | undefined): void {
     if (this.#isOver) return
     this.#isOver = true
-    this.#onOver()
+    this.#deadline?.cancel()
     this.#exchange?.cancel()
     const { services, admitted } = this
     const { clock, metrics, log, openRequests } = services
