--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -298,6 +298,10 @@
     )
   }
 
+  get pid() {
+    return this.#child.pid
+  }
+
   signal(name) {
     this.record(`box ${this.name}: gets ${name}`)
     this.#child.kill(name)
