Review: an entry with an unreadable address ends boxes when its service crashes

Claim (LOST): an entry of another writer, one byte of whose address can't be read, counts as an upstream. While a box has lost its path to that service it probes the entry, the probe throws, and the process ends as by a defect: all calls that it has passed on to sound runners of other services are closed without an answer.

--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -53,19 +53,14 @@
   })
 }
 
-const encode = content => Buffer.from(JSON.stringify(content)).toString('base64')
-
 /**
  * The platform's store: rows with one counter of versions, conditional changes, feeds that are held
- * until a row changes, and a history that may be dropped.
+ * until a row changes.
  */
 export class Store {
   #rows = new Map()
   #version = 0
-  /** Feeds that continue from before this version get a 410. */
-  #compactedAt = 0
   #feeds = new Set()
-  #isQuiet = false
   #startedAt = performance.now()
   #server
 
@@ -84,8 +79,14 @@
   }
 
   put(table, key, content) {
+    return this.putBytes(table, key, Buffer.from(JSON.stringify(content)))
+  }
+
+  /** Writes a row with any bytes. Returns its version, with which the store acknowledges it. */
+  putBytes(table, key, bytes) {
     this.#version++
-    const row = { table, part: '', key, value: encode(content), ver: this.#version }
+    const value = bytes.toString('base64')
+    const row = { table, part: '', key, value, ver: this.#version }
     this.#rows.set(`${table}/${key}`, row)
     this.#answerFeeds()
     return this.#version
@@ -103,21 +104,6 @@
     return row && !row.removed ? JSON.parse(String(Buffer.from(row.value, 'base64'))) : undefined
   }
 
-  /** Feeds are told of no change from now on. */
-  beginQuiet() {
-    this.#isQuiet = true
-  }
-
-  /** Drops the history, and cuts the feeds that are held. */
-  dropHistory() {
-    this.#isQuiet = false
-    this.#compactedAt = this.#version
-    const cut = [...this.#feeds]
-    this.#feeds.clear()
-    for (const { response } of cut) response.destroy()
-    return cut.length
-  }
-
   close() {
     this.#server.close()
     this.#server.closeAllConnections()
@@ -168,7 +154,6 @@
 
   #hold(response, query) {
     const since = Number(query('since_revision'))
-    if (since < this.#compactedAt) return this.#answer(response, 410, {})
     const feed = { response, table: query('table'), since }
     this.#feeds.add(feed)
     response.once('close', () => this.#feeds.delete(feed))
@@ -182,11 +167,9 @@
 
   #answerFeed(feed, isLast) {
     if (!this.#feeds.has(feed)) return
-    const rows = this.#isQuiet
-      ? []
-      : [...this.#rows.values()]
-          .filter(({ table, ver }) => table === feed.table && ver > feed.since)
-          .sort((left, right) => left.ver - right.ver)
+    const rows = [...this.#rows.values()]
+      .filter(({ table, ver }) => table === feed.table && ver > feed.since)
+      .sort((left, right) => left.ver - right.ver)
     if (rows.length === 0 && !isLast) return
     this.#feeds.delete(feed)
     this.#answer(feed.response, 200, { rows })
@@ -243,11 +226,16 @@
     this.handle({ request, response, id, head, upstream: this })
   }
 
-  /** Ends as a process that is killed: it accepts nothing more, and its connections are reset. */
+  /**
+   * Ends as a process that is killed: it accepts nothing more, and its connections are reset. Its
+   * entry lapses after three heartbeats of silence.
+   */
   crash() {
+    this.record(`upstream ${this.id}: crashes`)
     clearInterval(this.#beat)
     this.#server.close()
     for (const socket of this.sockets) socket.resetAndDestroy()
+    setTimeout(() => this.store.remove('servers', this.id), 3 * HEARTBEAT_MS).unref()
   }
 
   close() {
@@ -258,27 +246,30 @@
 }
 
 const HEARTBEAT_MS = 1_200
+const RESTART_DELAY_MS = 300
 
 /** A box that runs as a process of its own. */
 export class Box {
   #child
   #exited = Promise.resolve()
   #folder = mkdtempSync(join(tmpdir(), 'yewkeel-review-'))
+  #isDisposed = false
   output = ''
+  /** How often it ended without a signal of the test. */
+  ownEnds = 0
 
   constructor({ name, zone, ip, ports, store, record }) {
-    Object.assign(this, { name, zone, ip, ports, record })
-    this.#writeSettings(store.address)
+    Object.assign(this, { name, zone, ip, ports, store, record })
+    this.#writeSettings(true)
   }
 
   get entry() {
     return { host: this.ip, port: this.ports.entry }
   }
 
-  #writeSettings(storeAddress) {
-    const { name, zone, ip, ports } = this
+  #writeSettings(isFirstStart) {
     this.file = join(this.#folder, 'local.toml')
-    writeFileSync(this.file, settingsText({ name, zone, ip, ports, storeAddress }))
+    writeFileSync(this.file, settingsText(this, isFirstStart))
   }
 
   start() {
@@ -293,13 +284,17 @@
     this.#exited = new Promise(resolve =>
       this.#child.once('exit', (code, signal) => {
         this.record(`box ${this.name}: ended with ${signal ?? code}`)
+        if (signal === null) this.#handleOwnEnd()
         resolve()
       }),
     )
   }
 
-  get pid() {
-    return this.#child.pid
+  /** The platform starts a process that ends again after a short delay. */
+  #handleOwnEnd() {
+    this.ownEnds++
+    this.#writeSettings(false)
+    setTimeout(() => this.#isDisposed || this.start(), RESTART_DELAY_MS)
   }
 
   signal(name) {
@@ -327,6 +322,7 @@
   }
 
   async dispose() {
+    this.#isDisposed = true
     if (this.#child && this.#child.exitCode === null && this.#child.signalCode === null) {
       this.#child.kill('SIGKILL')
       this.#child.kill('SIGCONT')
@@ -348,7 +344,7 @@
 }
 
 /** The settings file of DEPLOY.md, with its figures for a small deployment. */
-function settingsText({ name, zone, ip, ports, storeAddress }) {
+function settingsText({ name, zone, ip, ports, store }, isFirstStart) {
   return `node_name = "${name}"
 role = "gateway"
 machine_class = "frontend"
@@ -358,7 +354,7 @@
 region = "mu-island"
 port_range = [${ports.peers},${ports.peers + 15}]
 seeds = []
-bootstrap = true
+bootstrap = ${isFirstStart}
 loss_counts = false
 discovery = "platform"
 entry = "registry"
@@ -404,7 +400,7 @@
 session_s = 5
 ttl_max_s = 5
 [platform]
-address = "${storeAddress}"
+address = "${store.address}"
 form = "table"
 writes_per_s = 400
 reads_per_s = 2000
