--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -248,6 +248,13 @@
 const HEARTBEAT_MS = 1_200
 const RESTART_DELAY_MS = 300
 
+/** Processes that are to end with this one, however it ends. */
+const children = new Set()
+process.once('exit', () => {
+  for (const child of children) child.kill('SIGKILL')
+})
+for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => process.exit(2))
+
 /** A box that runs as a process of its own. */
 export class Box {
   #child
@@ -276,13 +283,16 @@
     const { PATH, HOME, LANG } = process.env
     const env = { PATH, HOME, ...(LANG && { LANG }), YEWKEEL_BOOT: this.file }
     const options = { cwd: ROOT, env, stdio: ['ignore', 'pipe', 'pipe'] }
-    this.#child = spawn(process.execPath, RUN_COMMAND, options)
+    const child = spawn(process.execPath, RUN_COMMAND, options)
+    this.#child = child
+    children.add(child)
     this.record(`box ${this.name}: started at ${this.ip}:${this.ports.entry}`)
     const keep = bytes => (this.output += bytes)
     this.#child.stdout.on('data', keep)
     this.#child.stderr.on('data', keep)
     this.#exited = new Promise(resolve =>
-      this.#child.once('exit', (code, signal) => {
+      child.once('exit', (code, signal) => {
+        children.delete(child)
         this.record(`box ${this.name}: ended with ${signal ?? code}`)
         if (signal === null) this.#handleOwnEnd()
         resolve()
