Soak: the retry budget is checked in every window, as the rule is worded

The check counted the requests of 20 s around a repeat against the repeats of 10 s, so that a service could get nearly twice what is allowed unseen. It now takes every window that begins at any moment, against the requests in it, in the one before or half a window before.

Faults that only plans name for now: all engines turn away or break off nine of ten, callers move to every other box, and open connections fall silent while new ones work, until what was written arrives (hold of the proxy). Callers may begin attempts at a steady interval.

--- a/packages/soak/src/checks/guarantees.ts
+++ b/packages/soak/src/checks/guarantees.ts
@@ -16,6 +16,7 @@
 import type { Attempt, FaultSpan, GuaranteeName, Milliseconds, Violation } from './observations.js'
 import { ADVERTISEMENT_CHECKS } from './advertisementChecks.js'
 import { HARD_LOAD_CHECKS } from './hardLoadChecks.js'
+import { excessOf, worstRetryWindows } from './retryBudgetCheck.js'
 
 /** How long after its deadline an attempt must have ended. */
 const MAX_ANSWER_DELAY: Milliseconds = 1_500
@@ -118,28 +119,13 @@
         ),
     ),
 
-  'retry-budget': (evidence, { retryRatio, retrySlack, retryWindow }) =>
-    [...new Set(evidence.arrivals.map(({ service }) => service))].flatMap(service => {
-      const arrivals = evidence.arrivals.filter(arrival => arrival.service === service)
-      const seen = new Set<string>()
-      const repeats: Milliseconds[] = []
-      for (const { id, at } of arrivals) if (seen.size === seen.add(id).size) repeats.push(at)
-      return repeats
-        .filter((at, index) => {
-          const count = repeats.slice(index).filter(later => later < at + retryWindow).length
-          const requests = attemptsOf(evidence)
-            .filter(({ kind, load }) =>
-              load ? load.service === service : (kind === 'streaming') === (service === 'pool'),
-            )
-            .filter(({ sentAt }) => sentAt > at - retryWindow && sentAt < at + retryWindow).length
-          return count > retryRatio * requests + retrySlack
-        })
-        .slice(0, 1)
-        .map(
-          at =>
-            `${service} got too many repeats in the ${retryWindow} ms from ${Math.round(at)} on`,
-        )
-    }),
+  'retry-budget': (evidence, bounds) =>
+    worstRetryWindows(evidence, bounds)
+      .filter(window => excessOf(window) > 0)
+      .map(
+        ({ service, from, repeats, allowed }) =>
+          `${service} got ${repeats} repeats of ${Math.floor(allowed)} in the ${bounds.retryWindow} ms from ${Math.round(from)} on`,
+      ),
 
   answered: evidence =>
     attemptsOf(evidence)
--- a/packages/soak/src/faults/faultKinds.ts
+++ b/packages/soak/src/faults/faultKinds.ts
@@ -1,6 +1,7 @@
 import type { Random } from '@yewkeel/decisions'
 import type { RowsStandIn } from '@yewkeel/platform/stand-ins'
 import type { SoakBox } from '../world/boxProcess.js'
+import type { Callers } from '../world/callers.js'
 import type { UpstreamSlot, Upstreams } from '../world/upstreams.js'
 import { removeForeignRows, writeForeignRows } from './foreignRows.js'
 import type { LoopbackProxy, ProxyMode } from './loopbackProxy.js'
@@ -16,6 +17,7 @@
 export interface World {
   boxes: ProxiedBox[]
   upstreams: Upstreams
+  callers: Callers
   rows: RowsStandIn
   random: Random
   /** Revokes the callers' API key and issues another. */
@@ -82,6 +84,29 @@
   }
 }
 
+/** Changes all upstreams that serve streams. */
+function poolFault(change: Partial<UpstreamSlot['standIn']['faults']>): FaultKind {
+  return ({ upstreams }) => {
+    const members = upstreams.slots.filter(({ service }) => service === 'pool')
+    for (const { standIn } of members) Object.assign(standIn.faults, change)
+    return {
+      end() {
+        for (const { standIn } of members)
+          for (const name of Object.keys(change)) delete standIn.faults[name as keyof typeof change]
+      },
+    }
+  }
+}
+
+/** Sends all callers to every other box. */
+function callersMove(remainder: number): FaultKind {
+  return ({ boxes, callers }) => {
+    const avoided = boxes.filter((_box, index) => index % 2 !== remainder)
+    callers.avoided = new Set(avoided.map(({ process }) => process.box))
+    return { end: () => void (callers.avoided = new Set()) }
+  }
+}
+
 /** All kinds of fault, by name. */
 export const FAULT_KINDS: Record<string, FaultKind> = {
   'box-kill': world => {
@@ -152,6 +177,15 @@
   'upstream-fails': upstreamFault({ failShare: 0.4 }),
   'upstream-loses': upstreamFault({ lostShare: 0.3 }),
   'upstream-breaks': upstreamFault({ breakShare: 0.5 }),
+  'pool-breaks': poolFault({ breakShare: 0.9 }),
+  'pool-rejects': poolFault({ rejectShare: 0.9 }),
+  'upstreams-held': ({ upstreams }) => {
+    const proxies = upstreams.slots.map(({ proxy }) => proxy)
+    for (const proxy of proxies) proxy.setMode('hold')
+    return { end: () => proxies.forEach(proxy => proxy.setMode('pass')) }
+  },
+  'callers-move-even': callersMove(0),
+  'callers-move-odd': callersMove(1),
   'upstream-mute': upstreamFault({ isUnresponsive: true }),
   'key-change': world => {
     world.changeKey()
@@ -164,7 +198,15 @@
 }
 
 /** Kinds that only plans of tests name: earlier seeds draw from the others. */
-export const UNDRAWN_KINDS = new Set(['foreign-rows', 'service-crash'])
+export const UNDRAWN_KINDS = new Set([
+  'foreign-rows',
+  'service-crash',
+  'pool-breaks',
+  'pool-rejects',
+  'upstreams-held',
+  'callers-move-even',
+  'callers-move-odd',
+])
 
 /** Planned changes: no check excuses a violation because of them. */
 export const PLANNED_CHANGES = new Set([
--- a/packages/soak/src/faults/loopbackProxy.ts
+++ b/packages/soak/src/faults/loopbackProxy.ts
@@ -5,9 +5,9 @@
 
 /**
  * What a proxy does with its connections. `silent` drops data both ways, `silent-back` only data
- * from the target.
+ * from the target. `hold` keeps what open connections carry until it ends; new ones work.
  */
-export type ProxyMode = 'pass' | 'delay' | 'reset' | 'silent' | 'silent-back'
+export type ProxyMode = 'pass' | 'delay' | 'hold' | 'reset' | 'silent' | 'silent-back'
 
 export interface LoopbackProxy {
   /** `host:port` to connect to in place of the target. */
@@ -19,6 +19,11 @@
   close(): void
 }
 
+/** The connections that were opened between two holds; `held` is what they carry, in order. */
+interface ConnectionGroup {
+  held?: (() => void)[]
+}
+
 /** Delay of each chunk in each direction in mode `delay`. */
 const LINK_DELAY_MS = 120
 
@@ -46,13 +51,16 @@
   let mode: ProxyMode = 'pass'
   let isDark = false
   const sockets = new Set<Socket>()
+  let group: ConnectionGroup = {}
+  const heldGroups: ConnectionGroup[] = []
   const track = (socket: Socket) => {
     sockets.add(socket)
     socket.once('close', () => sockets.delete(socket))
     socket.on('error', () => socket.destroy())
   }
-  const relay = (from: Socket, to: Socket, isBack: boolean) => {
-    const forward = createOrderedDelay(() => (mode === 'delay' ? LINK_DELAY_MS : 0))
+  const relay = (from: Socket, to: Socket, isBack: boolean, own: ConnectionGroup) => {
+    const delayed = createOrderedDelay(() => (mode === 'delay' ? LINK_DELAY_MS : 0))
+    const forward = (work: () => void) => (own.held ? own.held.push(work) : delayed(work))
     // After dropped bytes a connection forwards nothing more: TCP never delivers a stream with a
     // gap.
     let hasLostBytes = false
@@ -68,7 +76,7 @@
     from.once('end', () => isDark || forward(() => to.end()))
     from.once('close', hadError => {
       if (isDark) return
-      if (hadError) to.resetAndDestroy()
+      if (hadError && !own.held) to.resetAndDestroy()
       else forward(() => to.destroySoon())
     })
   }
@@ -78,14 +86,21 @@
     const [targetHost, port] = target().split(':')
     const targetSocket = connect({ host: targetHost!, port: Number(port), allowHalfOpen: true })
     track(targetSocket)
-    relay(socket, targetSocket, false)
-    relay(targetSocket, socket, true)
+    relay(socket, targetSocket, false, group)
+    relay(targetSocket, socket, true, group)
   })
   await new Promise<void>(resolve => server.listen(0, host, resolve))
   return {
     address: `${host}:${(server.address() as AddressInfo).port}`,
     setMode(next) {
       mode = next
+      for (const { held = [] } of heldGroups) for (const work of held) work()
+      for (const ended of heldGroups.splice(0)) delete ended.held
+      if (mode === 'hold') {
+        group.held = []
+        heldGroups.push(group)
+        group = {}
+      }
       if (mode === 'reset') for (const socket of sockets) socket.resetAndDestroy()
     },
     goDark() {
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -10,6 +10,7 @@
 import { findViolations } from './checks/guarantees.js'
 import { judgedPhases } from './checks/hardLoadChecks.js'
 import type { FaultSpan, Violation } from './checks/observations.js'
+import { worstRetryWindows, type RetryBudgetWindow } from './checks/retryBudgetCheck.js'
 import { FAULT_KINDS, PLANNED_CHANGES, type ProxiedBox, type World } from './faults/faultKinds.js'
 import { startLoopbackProxy } from './faults/loopbackProxy.js'
 import { planFaults, type PlannedFault } from './faults/planFaults.js'
@@ -59,8 +60,14 @@
   seconds: number
   boxes: number
   callers: number
+  /** Time in ms between the starts of a caller's attempts; by default it waits after each end. */
+  callerInterval?: number
+  /** Time in ms after which upstreams close idle connections. */
+  keepAlive?: number
   /** Path of the program that runs as a box. */
   program: string
+  /** Engines beyond the usual ones; none by default. */
+  moreEngines?: number
   /** Defaults to a process of `program`. */
   createBox?: typeof createBoxProcess
   /** Replaces the faults planned for the seed. */
@@ -95,6 +102,8 @@
    * those whose answer looked whole.
    */
   deadlyPart: { arrivals: number; crashes: number; seenWhole: number }
+  /** The window of each service in which repeats came closest to their budget, or exceeded it most. */
+  retryWindows: RetryBudgetWindow[]
   /** Bursts and floods in which the machine was idle enough to judge them. */
   judgedPhases: number
   violations: Violation[]
@@ -117,6 +126,8 @@
 /** Memory of a box of a seed with hard load. */
 const HARD_LOAD_MEMORY_MEGABYTES = 200
 const DATA_CENTRES = ['ebene', 'curepipe', 'rose-hill']
+/** The service that answers streams. */
+const ENGINES = 'pool'
 const UPSTREAM_SERVICES = ['pool', 'pool', 'pool', 'pool', 'desk', 'desk', 'desk-2', 'desk-2']
 /** Time for boxes to discover each other and for callers to get addresses. */
 const WARM_UP_MS = 1_500
@@ -150,12 +161,25 @@
     ...(hardLoad && {
       capacityOf: (service, index) => hardLoadCapacity(hardLoad, service, index),
     }),
+    ...(options.keepAlive !== undefined && {
+      capacityOf: () => ({ keepAlive: options.keepAlive! }),
+    }),
   })
-  for (const service of UPSTREAM_SERVICES) await upstreams.add(service)
+  const moreEngines = Array.from({ length: options.moreEngines ?? 0 }, () => ENGINES)
+  for (const service of [...UPSTREAM_SERVICES, ...moreEngines]) await upstreams.add(service)
   if (hardLoad) await addHardLoadUpstreams(hardLoad, upstreams, evidence)
   const { boxes, targets } = await startBoxes(options, bounds, rows.address)
   const key = () => operators.pickKey(random)
-  const callers = new Callers({ count: options.callers, seed, random, targets, evidence, key, now })
+  const callers = new Callers({
+    count: options.callers,
+    interval: options.callerInterval,
+    seed,
+    random,
+    targets,
+    evidence,
+    key,
+    now,
+  })
   const plan = options.plan ?? planFaults(random, seconds * 1_000)
   const planned = options.rollout ?? planRollout(seed, seconds)
   const plannedCrashes = options.crashes ?? planCrashes(seed, seconds)
@@ -200,7 +224,12 @@
     advertisements.start()
     storeReturns.start()
     pathCuts.start()
-    await injectFaults(plan, { boxes, upstreams, rows, random, ...operators }, evidence, now)
+    await injectFaults(
+      plan,
+      { boxes, upstreams, callers, rows, random, ...operators },
+      evidence,
+      now,
+    )
     pathCuts.stop()
     evidence.faultsEndedAt = now()
     await load?.stop()
@@ -247,6 +276,7 @@
       crashes: evidence.deadlyRequests.crashes.length,
       seenWhole: evidence.deadlyRequests.seenWhole.length,
     },
+    retryWindows: worstRetryWindows(evidence, bounds),
     judgedPhases: judgedPhases(evidence).length,
     violations,
     outputs: violations.length > 0 ? Object.fromEntries(outputs) : {},
--- a/packages/soak/src/world/callers.ts
+++ b/packages/soak/src/world/callers.ts
@@ -32,6 +32,8 @@
   /** The API key for the next attempt; sometimes a revoked one. */
   key(): string
   now(): number
+  /** Time between the starts of a caller's attempts; by default it waits after the end of each. */
+  interval?: number | undefined
 }
 
 const KIND_WEIGHTS: readonly { kind: AttemptKind; weight: number }[] = [
@@ -57,6 +59,8 @@
 
 /** Callers that look up boxes in a directory and send attempts until they are stopped. */
 export class Callers {
+  /** Boxes that no caller uses now. */
+  avoided: ReadonlySet<string> = new Set()
   #isStopped = false
   #attemptCount = 0
   #loops: Promise<void>[] = []
@@ -79,13 +83,14 @@
     let fetchedAt = -Infinity
     let connection: { target: CallerTarget; client: Client } | undefined
     while (!this.#isStopped) {
+      const begunAt = now()
       if (now() - fetchedAt > timeToLive) {
         addresses = (await this.#fetchAddresses()) ?? addresses
         fetchedAt = now()
       }
       if (
         connection &&
-        (!addresses.includes(connection.target.entryAddress) || connection.client.destroyed)
+        (!this.#isInUse(connection.target, addresses) || connection.client.destroyed)
       )
         connection = await closeConnection(connection.client)
       connection ??= this.#openConnection(addresses)
@@ -94,20 +99,31 @@
         if (!isReusable || random() < RECONNECT_FRACTION)
           connection = await closeConnection(connection.client)
       }
-      await new Promise(resolve => setTimeout(resolve, MEAN_ATTEMPT_INTERVAL_MS * (0.5 + random())))
+      await new Promise(resolve => setTimeout(resolve, this.#pause(begunAt)))
     }
     if (connection) await closeConnection(connection.client)
   }
 
+  /** How long a caller waits before its next attempt. */
+  #pause(begunAt: number): number {
+    const { random, now, interval } = this.options
+    if (interval === undefined) return MEAN_ATTEMPT_INTERVAL_MS * (0.5 + random())
+    return Math.max(0, begunAt + interval * (0.5 + random()) - now())
+  }
+
   #keepsAddresses(caller: number): boolean {
     return this.options.seed >= FIRST_SEED_WITH_KEPT_ADDRESSES && caller % KEEPERS_INTERVAL === 0
   }
 
+  #isInUse({ box, entryAddress }: CallerTarget, addresses: readonly string[]): boolean {
+    return addresses.includes(entryAddress) && !this.avoided.has(box)
+  }
+
   #openConnection(
     addresses: readonly string[],
   ): { target: CallerTarget; client: Client } | undefined {
     const { targets, random } = this.options
-    const known = targets.filter(({ entryAddress }) => addresses.includes(entryAddress))
+    const known = targets.filter(candidate => this.#isInUse(candidate, addresses))
     const target = known[Math.floor(random() * known.length)]
     if (!target) return undefined
     return { target, client: createClient(target.proxyAddress) }
