--- a/packages/decisions/src/admission/retryShare.ts
+++ b/packages/decisions/src/admission/retryShare.ts
@@ -35,6 +35,14 @@
   byService: Map<string, RetryShare>
 }
 
+/** The window in which this box is closest to its part of the budget, one more retry included. */
+export interface TightestWindow {
+  /** How long ago it began. */
+  age: Milliseconds
+  retries: number
+  allowed: number
+}
+
 /** Slots per window. */
 const SLOTS = 10
 /**
@@ -83,16 +91,28 @@
 }
 
 /**
- * Whether the budget allows a retry. `boxes`: how many share the slack, `Infinity` when unknown.
+ * The window that would be closest to its budget after one more retry. `boxes`: how many share the
+ * slack, `Infinity` when unknown.
  */
-export function canRetry(share: RetryShare, boxes: number, now: Milliseconds): boolean {
+export function tightestWindow(
+  share: RetryShare,
+  boxes: number,
+  now: Milliseconds,
+): TightestWindow {
   slotAt(share, now)
   const oldest = share.slots[(share.newest + 1) % KEPT_SLOTS]!
   const requests = share.slots.reduce((sum, slot) => sum + slot.requests, 0) - oldest.requests
   const retries = share.slots.reduce((sum, slot) => sum + slot.retries, 0)
-  const { ratio, slack } = share.limits
+  const { ratio, slack, window } = share.limits
   const slackPart = now < share.slackFrom ? 0 : slack / Math.max(1, boxes)
-  return retries + 1 <= USABLE_FRACTION * (ratio * requests + slackPart)
+  const allowed = USABLE_FRACTION * (ratio * requests + slackPart)
+  return { age: window, retries: retries + 1, allowed }
+}
+
+/** Whether the budget allows a retry. */
+export function canRetry(share: RetryShare, boxes: number, now: Milliseconds): boolean {
+  const { retries, allowed } = tightestWindow(share, boxes, now)
+  return retries <= allowed
 }
 
 /** Takes one retry from the budget. Returns false when the budget is exhausted. */
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -47,6 +47,7 @@
 import { Relays } from './tasks/relays.js'
 import { RoomAdmission } from './tasks/roomAdmission.js'
 import { RoomDemand } from './tasks/roomDemand.js'
+import { RetryBudgetWatch } from './tasks/retryBudgetWatch.js'
 import { RolloutTask } from './tasks/rolloutTask.js'
 import { SendBudget } from './tasks/sendBudget.js'
 import { AdvertisementTask } from './tasks/advertisementTask.js'
@@ -566,6 +567,11 @@
       limits: settings.retries,
       slackFrom: settings.isFirstStart ? startedAt : startedAt + settings.retries.window,
     }),
+    retryBudgetWatch: new RetryBudgetWatch({
+      clock,
+      log,
+      sharingBoxes: () => services.budgetBoxCount(),
+    }),
     confidenceGains: createConfidenceGains(),
     openRequests: new Set(),
     stalls: new StallWatch(clock, reachability),
--- a/packages/gateway/src/requests/attemptLog.ts
+++ b/packages/gateway/src/requests/attemptLog.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds, UpstreamCandidate } from '@yewkeel/decisions'
+import type { Clock, Milliseconds, TightestWindow, UpstreamCandidate } from '@yewkeel/decisions'
 import type { ResponseHead } from './exchangeWithUpstream.js'
 
 /** One attempt at an upstream, as logged. */
@@ -15,6 +15,13 @@
   outcome?: string
   /** What was expected of the upstream's room, unless the request was to begin at once. */
   room?: string
+  /**
+   * What the retry budget held when this attempt was paid: the age of the window that was closest to
+   * its budget, the retries in it with this one, and how many it allowed.
+   */
+  budget?: { age: Milliseconds; retries: number; allowed: number }
+  /** Time of the first bytes of an answer, since the request's arrival. */
+  heard?: Milliseconds
   /** Reported by the model, 0 to 100. */
   confidence?: number
   /** Time of the first chunk, since the request's arrival. */
@@ -49,7 +56,12 @@
     private readonly receivedAt: Milliseconds,
   ) {}
 
-  begin({ listed, outlook }: UpstreamCandidate, list: ListInUse, model: string | undefined): void {
+  begin(
+    { listed, outlook }: UpstreamCandidate,
+    list: ListInUse,
+    model: string | undefined,
+    paidFrom: TightestWindow | undefined,
+  ): void {
     const { id, version } = listed
     const from = this.#sinceArrival()
     const room = outlook && outlook.kind !== 'begins' ? outlook.kind : undefined
@@ -61,6 +73,7 @@
       ...(model !== undefined && { model }),
       from,
       ...(room !== undefined && { room }),
+      ...(paidFrom && { budget: roundedWindow(paidFrom) }),
     })
   }
 
@@ -76,10 +89,11 @@
     return this.records.at(-1)?.pieces ?? 0
   }
 
-  /** Records rate limit, drain notice and Retry-After of the answer's headers. */
+  /** Records when the head of the answer came, and its rate limit, drain notice and Retry-After. */
   recordHead({ fields: { limit, isLeaving, retryAfter } }: ResponseHead): void {
     const record = this.records.at(-1)
     if (!record) return
+    record.heard = this.#sinceArrival()
     if (limit !== undefined) record.limit = limit
     if (isLeaving) record.isLeaving = isLeaving
     if (retryAfter !== undefined) record.retryAfter = retryAfter
@@ -104,3 +118,7 @@
     return Math.round(this.clock.now() - this.receivedAt)
   }
 }
+
+function roundedWindow({ age, retries, allowed }: TightestWindow): TightestWindow {
+  return { age: Math.round(age), retries, allowed: Math.floor(allowed) }
+}
--- a/packages/gateway/src/requests/attemptTracker.ts
+++ b/packages/gateway/src/requests/attemptTracker.ts
@@ -1,4 +1,12 @@
-import { canRetry, recordRequest, takeRetry, type Clock, type RetryShare } from '@yewkeel/decisions'
+import {
+  canRetry,
+  recordRequest,
+  takeRetry,
+  tightestWindow,
+  type Clock,
+  type RetryShare,
+  type TightestWindow,
+} from '@yewkeel/decisions'
 import type { GatewayMetrics } from '../types/ports.js'
 
 export interface AttemptTrackerOptions {
@@ -8,6 +16,8 @@
   share: RetryShare
   /** Number of boxes that share the fixed part of the budget. */
   sharingBoxes(): number
+  /** Called whenever a retry was taken from the budget, or refused by it. */
+  onBudget(isTaken: boolean, window: TightestWindow): void
   /** Maximum number of upstreams that accept the request. */
   maxAttempts: number
 }
@@ -25,6 +35,8 @@
   /** Retries taken from the budget. */
   #paidRetries = 0
   #possibleRuns = 0
+  /** What the budget held when the last retry was taken from it. */
+  #paidFrom: TightestWindow | undefined
 
   constructor(private readonly options: AttemptTrackerOptions) {
     recordRequest(options.share, options.clock.now())
@@ -50,15 +62,27 @@
     const { share, sharingBoxes, clock, metrics } = this.options
     if (!this.#isWithinLimit) return false
     if (this.#isNextPaid) return true
-    if (!takeRetry(share, sharingBoxes(), clock.now())) {
+    const boxes = sharingBoxes()
+    const window = tightestWindow(share, boxes, clock.now())
+    const isTaken = takeRetry(share, boxes, clock.now())
+    this.options.onBudget(isTaken, window)
+    if (!isTaken) {
       metrics.count('retries', 'refused')
       return false
     }
+    this.#paidFrom = window
     this.#paidRetries++
     metrics.count('retries', 'sent')
     return true
   }
 
+  /** What the budget held when the next send was paid; undefined if it is free. */
+  takePaidFrom(): TightestWindow | undefined {
+    const window = this.#paidFrom
+    this.#paidFrom = undefined
+    return window
+  }
+
   recordSent(): void {
     this.options.metrics.count('arrivals', this.#arrivals === 0 ? 'first' : 'repeat')
     this.#attempts++
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -101,6 +101,8 @@
       metrics,
       share: retryShareOf(retryShares, admitted.service),
       sharingBoxes: () => services.budgetBoxCount(),
+      onBudget: (isTaken, window) =>
+        services.retryBudgetWatch.record(admitted.service, isTaken, window),
       maxAttempts: admitted.route.maxAttempts,
     })
     this.#pace = new CallerPace({
@@ -264,7 +266,8 @@
     this.#lastAttempt = attempt
     this.#attempts.recordSent()
     upstream.advertised.sentSinceLog++
-    this.#attemptLog.begin(upstream, services.upstreams.listInUse, fields.model)
+    const { listInUse } = services.upstreams
+    this.#attemptLog.begin(upstream, listInUse, fields.model, this.#attempts.takePaidFrom())
     const heldRoom = services.rooms.hold(upstream, this.#search.roomNeed)
     this.#heldRoom = heldRoom
     const exchange = exchangeWithUpstream(
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -12,6 +12,7 @@
 import type { RoomAdmission } from '../tasks/roomAdmission.js'
 import type { RoomDemand } from '../tasks/roomDemand.js'
 import type { Relays } from '../tasks/relays.js'
+import type { RetryBudgetWatch } from '../tasks/retryBudgetWatch.js'
 import type { RolloutTask } from '../tasks/rolloutTask.js'
 import type { UpstreamDirectory } from '../tasks/upstreamDirectory.js'
 import type { UpstreamRooms } from '../tasks/upstreamRooms.js'
@@ -52,6 +53,7 @@
   demand: RoomDemand
   roomQueue: RoomAdmission
   retryShares: RetryShares
+  retryBudgetWatch: RetryBudgetWatch
   /**
    * Estimated gain in confidence from model to model, from requests that several models answered.
    */
