A box judges every window of its retry budget, not the one that ends now

What callers saw: more repeats of one service in 10 s than are allowed, over all boxes together (BUDGET).

Cause: each box let as many repeats go as the requests of its own last window had earned. The rule takes one window for all boxes. Where callers move, the boxes they leave have just spent what requests up to 10 s before had earned, and those they reach earn at once; with load in bursts 7.5 s apart, a window holds the repeats that two of them paid for. Each box is within its part and the sum is not. Class: a limit on the whole that each box keeps by its own count at its own moment.

Ruled out: a part of the slack that is spent twice (restart waits for a window; entries of boxes that left stay for 30 s), sends given back though bytes left, the margin of a tenth.

Change: for every window that holds this moment, whenever it began, a box's retries are at most the ratio of its requests in that window and the one before, halved, and its part of the slack. The mean of two windows is never above the larger, which is what the rule allows, and all boxes take the same mean for the same window, so that their parts add up wherever requests come. Slots of 100 ms; a slot at the edge counts its repeats and not its requests.

Failed before, on the moved clock: callers move 85 over, bursts 88 over (packages/decisions/test/retryShare.test.ts).

The test of a service's own earnings gives both windows requests, since one alone earns half; its bound stays.

--- a/packages/decisions/src/admission/retryShare.ts
+++ b/packages/decisions/src/admission/retryShare.ts
@@ -19,17 +19,24 @@
 }
 
 /**
- * This box's part of a shared retry budget: the ratio of its own requests, and an equal part of the
- * slack. The parts of all boxes never add up to more than the budget, however requests are
- * distributed.
+ * This box's part of a shared retry budget, for every window of the same length, whenever it
+ * begins: the retries in it are at most the ratio of the box's own requests, taken as the mean of
+ * that window and the one before, and an equal part of the slack. All boxes count by the same rule
+ * for the same window, so that their parts add up to no more than the budget of that window,
+ * wherever callers go meanwhile.
  */
 export interface RetryShare extends RetryShareOptions {
   /** Ring buffer of counts over time slots. */
-  slots: { requests: number; retries: number }[]
+  slots: RetrySlot[]
   /** Number of the newest slot, counted from clock time 0. */
   newest: number
 }
 
+interface RetrySlot {
+  requests: number
+  retries: number
+}
+
 /** Separate budgets by service: requests to one service earn no retries for another. */
 export interface RetryShares extends RetryShareOptions {
   byService: Map<string, RetryShare>
@@ -44,15 +51,12 @@
 }
 
 /** Slots per window. */
-const SLOTS = 10
-/**
- * Retries are counted for one slot longer than requests. With one slot fewer, retries at the end of
- * the oldest slot were forgotten 1 s early, and the budget could be spent twice in 9 s.
- */
-const KEPT_SLOTS = SLOTS + 1
+const SLOTS = 100
+/** The window that holds a retry, and the one before. */
+const KEPT_SLOTS = 2 * SLOTS
 /**
- * Fraction of the budget that is used; the remainder covers boxes that have not discovered each
- * other yet.
+ * Fraction of the budget that is used; the remainder covers requests and retries that are on their
+ * way while a window begins or ends.
  */
 const USABLE_FRACTION = 0.9
 
@@ -76,37 +80,49 @@
   return share
 }
 
-function slotAt(share: RetryShare, now: Milliseconds): { requests: number; retries: number } {
+function slotNumbered(share: RetryShare, number: number): RetrySlot {
+  return share.slots[(number + KEPT_SLOTS) % KEPT_SLOTS]!
+}
+
+/** Forgets what is older than the slots that are kept, and returns the slot of `now`. */
+function advance(share: RetryShare, now: Milliseconds): RetrySlot {
   const number = Math.floor(now / (share.limits.window / SLOTS))
   const steps = Math.min(KEPT_SLOTS, number - share.newest)
-  for (let step = 1; step <= steps; step++) {
-    share.slots[(number - steps + step) % KEPT_SLOTS] = { requests: 0, retries: 0 }
-  }
+  for (let step = 1; step <= steps; step++)
+    Object.assign(slotNumbered(share, number - steps + step), { requests: 0, retries: 0 })
   share.newest = Math.max(share.newest, number)
-  return share.slots[share.newest % KEPT_SLOTS]!
+  return slotNumbered(share, share.newest)
 }
 
 export function recordRequest(share: RetryShare, now: Milliseconds): void {
-  slotAt(share, now).requests++
+  advance(share, now).requests++
 }
 
 /**
- * The window that would be closest to its budget after one more retry. `boxes`: how many share the
- * slack, `Infinity` when unknown.
+ * The window that would be closest to its budget after one more retry, of all that hold this
+ * moment. `boxes`: how many share the slack, `Infinity` when unknown.
  */
 export function tightestWindow(
   share: RetryShare,
   boxes: number,
   now: Milliseconds,
 ): TightestWindow {
-  slotAt(share, now)
-  const oldest = share.slots[(share.newest + 1) % KEPT_SLOTS]!
-  const requests = share.slots.reduce((sum, slot) => sum + slot.requests, 0) - oldest.requests
-  const retries = share.slots.reduce((sum, slot) => sum + slot.retries, 0)
-  const { ratio, slack, window } = share.limits
-  const slackPart = now < share.slackFrom ? 0 : slack / Math.max(1, boxes)
-  const allowed = USABLE_FRACTION * (ratio * requests + slackPart)
-  return { age: window, retries: retries + 1, allowed }
+  advance(share, now)
+  const { newest, limits, slackFrom } = share
+  const slackPart = now < slackFrom ? 0 : limits.slack / Math.max(1, boxes)
+  let retries = 1
+  let requests = 0
+  for (let age = 0; age < SLOTS - 1; age++) requests += slotNumbered(share, newest - age).requests
+  let tightest: TightestWindow | undefined
+  // A window that begins within a slot holds at most all retries of that slot.
+  for (let age = 0; age <= SLOTS; age++) {
+    retries += slotNumbered(share, newest - age).retries
+    requests += slotNumbered(share, newest - age - SLOTS + 1).requests
+    const allowed = USABLE_FRACTION * ((limits.ratio * requests) / 2 + slackPart)
+    if (!tightest || allowed - retries < tightest.allowed - tightest.retries)
+      tightest = { age: (age * limits.window) / SLOTS, retries, allowed }
+  }
+  return tightest!
 }
 
 /** Whether the budget allows a retry. */
@@ -118,6 +134,6 @@
 /** Takes one retry from the budget. Returns false when the budget is exhausted. */
 export function takeRetry(share: RetryShare, boxes: number, now: Milliseconds): boolean {
   if (!canRetry(share, boxes, now)) return false
-  slotAt(share, now).retries++
+  advance(share, now).retries++
   return true
 }
