A retry counts until it is known to have arrived, and one window longer if it was given up

What callers saw: more repeats of one service in 10 s than are allowed, over all boxes together (BUDGET), where connections are silent for some seconds and what was written on them then arrives.

Cause: a repeat was counted when it was taken from the budget. The rule counts arrivals. What is written to a connection that is silent, or to an upstream that does not read, is kept on the way and arrives seconds later, beside all that was sent since; giving the attempt up does not take it back. Class: counted when it is sent where the promise counts arrivals.

Change: a retry that was taken is under way, and counts in every window, until the upstream was heard or its connection ended; it then counts for one window from there. One that is given up unheard counts as if it arrived one window later. Of all sends of a request the one that arrives first is the request itself, which need not be the first sent. Retries that were paid and not sent are returned when the request is over; before, they were lost.

The tests of the budget settle the retries that they take; their bounds stay. The definition of the worst window stands once, for the soak and the tests.

--- a/packages/decisions/src/admission/retryShare.ts
+++ b/packages/decisions/src/admission/retryShare.ts
@@ -24,16 +24,21 @@
  * that window and the one before, and an equal part of the slack. All boxes count by the same rule
  * for the same window, so that their parts add up to no more than the budget of that window,
  * wherever callers go meanwhile.
+ *
+ * A retry counts from when it is taken until one window after the upstream is known to have it.
  */
 export interface RetryShare extends RetryShareOptions {
-  /** Ring buffer of counts over time slots. */
+  /** Ring buffer of counts over time slots, from two windows ago to one window ahead. */
   slots: RetrySlot[]
-  /** Number of the newest slot, counted from clock time 0. */
+  /** Number of the slot of the latest time, counted from clock time 0. */
   newest: number
+  /** Retries that were taken and may arrive at any time. */
+  underWay: number
 }
 
 interface RetrySlot {
   requests: number
+  /** Retries by the latest time at which they can have arrived, which may lie ahead. */
   retries: number
 }
 
@@ -52,8 +57,8 @@
 
 /** Slots per window. */
 const SLOTS = 100
-/** The window that holds a retry, and the one before. */
-const KEPT_SLOTS = 2 * SLOTS
+/** The window before that of a retry, that window, and the one in which it may still arrive. */
+const KEPT_SLOTS = 3 * SLOTS
 /**
  * Fraction of the budget that is used; the remainder covers requests and retries that are on their
  * way while a window begins or ends.
@@ -62,7 +67,7 @@
 
 export function createRetryShare({ limits, slackFrom }: RetryShareOptions): RetryShare {
   const slots = Array.from({ length: KEPT_SLOTS }, () => ({ requests: 0, retries: 0 }))
-  return { limits, slackFrom, slots, newest: 0 }
+  return { limits, slackFrom, slots, newest: 0, underWay: 0 }
 }
 
 export function createRetryShares({ limits, slackFrom }: RetryShareOptions): RetryShares {
@@ -84,12 +89,12 @@
   return share.slots[(number + KEPT_SLOTS) % KEPT_SLOTS]!
 }
 
-/** Forgets what is older than the slots that are kept, and returns the slot of `now`. */
+/** Reuses the slots that are too old for the time ahead, and returns the slot of `now`. */
 function advance(share: RetryShare, now: Milliseconds): RetrySlot {
   const number = Math.floor(now / (share.limits.window / SLOTS))
   const steps = Math.min(KEPT_SLOTS, number - share.newest)
   for (let step = 1; step <= steps; step++)
-    Object.assign(slotNumbered(share, number - steps + step), { requests: 0, retries: 0 })
+    Object.assign(slotNumbered(share, number + SLOTS - steps + step), { requests: 0, retries: 0 })
   share.newest = Math.max(share.newest, number)
   return slotNumbered(share, share.newest)
 }
@@ -110,7 +115,9 @@
   advance(share, now)
   const { newest, limits, slackFrom } = share
   const slackPart = now < slackFrom ? 0 : limits.slack / Math.max(1, boxes)
-  let retries = 1
+  let retries = 1 + share.underWay
+  for (let ahead = 1; ahead <= SLOTS; ahead++)
+    retries += slotNumbered(share, newest + ahead).retries
   let requests = 0
   for (let age = 0; age < SLOTS - 1; age++) requests += slotNumbered(share, newest - age).requests
   let tightest: TightestWindow | undefined
@@ -131,9 +138,25 @@
   return retries <= allowed
 }
 
-/** Takes one retry from the budget. Returns false when the budget is exhausted. */
+/**
+ * Takes one retry from the budget, to be settled or returned. Returns false when the budget is
+ * exhausted.
+ */
 export function takeRetry(share: RetryShare, boxes: number, now: Milliseconds): boolean {
   if (!canRetry(share, boxes, now)) return false
-  advance(share, now).retries++
+  share.underWay++
   return true
 }
+
+/** A retry that was taken has arrived by `at`, or arrives until then: at most one window after `now`. */
+export function settleRetry(share: RetryShare, at: Milliseconds, now: Milliseconds): void {
+  advance(share, now)
+  share.underWay--
+  const number = Math.floor(at / (share.limits.window / SLOTS))
+  slotNumbered(share, Math.min(number, share.newest + SLOTS)).retries++
+}
+
+/** A retry that was taken is not sent. */
+export function returnRetry(share: RetryShare): void {
+  share.underWay--
+}
--- a/packages/decisions/test/retryShare.test.ts
+++ b/packages/decisions/test/retryShare.test.ts
@@ -3,23 +3,26 @@
 import {
   createRetryShare,
   createSeededRandom,
+  excessOf,
   recordRequest,
+  settleRetry,
   takeRetry,
+  worstRetryWindow,
   type Milliseconds,
 } from '../src/index.js'
 
 const LIMITS = { ratio: 0.9, slack: 50, window: 10_000 }
 const STEP: Milliseconds = 20
-const TICKS_PER_WINDOW = LIMITS.window / STEP
 /** Retries that each request asks for. */
 const WANTED_RETRIES = 2
 
 /** Requests a second that a box is sent at a time. */
 type Load = (box: number, at: Milliseconds) => number
 
+/** Times at which all boxes together were sent requests, and sent retries. */
 interface Counts {
-  requests: number[]
-  retries: number[]
+  requests: Milliseconds[]
+  retries: Milliseconds[]
 }
 
 /** Plays boxes of which each judges for itself. `isFailing`: whether requests ask for retries. */
@@ -35,36 +38,26 @@
   const due = shares.map(() => 0)
   const counts: Counts = { requests: [], retries: [] }
   for (let at = 0; at < duration; at += STEP) {
-    let requests = 0
-    let retries = 0
     shares.forEach((share, box) => {
       due[box]! += (load(box, at) * STEP) / 1_000
       for (; due[box]! >= 1; due[box]!--) {
         recordRequest(share, at)
-        requests++
+        counts.requests.push(at)
         for (let wanted = 0; isFailing(at) && wanted < WANTED_RETRIES; wanted++)
-          if (takeRetry(share, boxes, at)) retries++
+          if (takeRetry(share, boxes, at)) {
+            settleRetry(share, at, at)
+            counts.retries.push(at)
+          }
       }
     })
-    counts.requests.push(requests)
-    counts.retries.push(retries)
   }
   return counts
 }
 
 /** How far the worst window exceeds the budget of all boxes together; negative within it. */
 function worstExcess({ requests, retries }: Counts): number {
-  const sum = (values: number[], from: number) =>
-    values
-      .slice(Math.max(0, from), Math.max(0, from + TICKS_PER_WINDOW))
-      .reduce((total, value) => total + value, 0)
-  return Math.max(
-    ...requests.map((_count, from) => {
-      const starts = [from, from - TICKS_PER_WINDOW, from - TICKS_PER_WINDOW / 2]
-      const earned = Math.max(...starts.map(start => sum(requests, start)))
-      return sum(retries, from) - LIMITS.ratio * earned - LIMITS.slack
-    }),
-  )
+  const worst = worstRetryWindow(requests, retries, LIMITS)
+  return worst ? excessOf(worst) : -Infinity
 }
 
 describe('the retry budget of all boxes, in every window', () => {
@@ -110,7 +103,9 @@
     let paid = 0
     for (let at = 20_000; at < 24_000; at += 100) {
       recordRequest(share, at)
-      if (takeRetry(share, 6, at)) paid++
+      if (!takeRetry(share, 6, at)) continue
+      settleRetry(share, at, at)
+      paid++
     }
     expect(paid).to.be.at.least(0.4 * 40)
   })
--- a/packages/decisions/test/routing.test.ts
+++ b/packages/decisions/test/routing.test.ts
@@ -15,7 +15,9 @@
   recordRequest,
   retryShareOf,
   ringNeighbours,
+  settleRetry,
   takeRetry,
+  type RetryShare,
   targetShare,
   earliestProofAt,
   type CascadeStep,
@@ -103,6 +105,13 @@
   })
 })
 
+/** Takes a retry that arrives at once. */
+function sendRetry(share: RetryShare, boxes: number, now: number): boolean {
+  if (!takeRetry(share, boxes, now)) return false
+  settleRetry(share, now, now)
+  return true
+}
+
 describe('the retry budget that all boxes share', () => {
   it('is kept by the sum of their parts, however requests are distributed', () => {
     const limits = { ratio: 0.9, slack: 58, window: 10_000 }
@@ -126,7 +135,7 @@
       slackFrom: 0,
     })
     for (let count = 0; count < 10; count++) recordRequest(share, 0)
-    while (takeRetry(share, 1, 0));
+    while (sendRetry(share, 1, 0));
     expect(takeRetry(share, 1, 9_000)).to.equal(false)
     for (let count = 0; count < 10; count++) recordRequest(share, 11_000)
     expect(takeRetry(share, 1, 11_000)).to.equal(true)
@@ -139,7 +148,7 @@
       limits: { ratio: 0, slack: 100, window: 10_000 },
       slackFrom: 0,
     })
-    while (takeRetry(share, 1, 990));
+    while (sendRetry(share, 1, 990));
     expect(takeRetry(share, 1, 10_000)).to.equal(false)
     expect(takeRetry(share, 1, 11_000)).to.equal(true)
   })
--- a/packages/gateway/src/requests/attemptTracker.ts
+++ b/packages/gateway/src/requests/attemptTracker.ts
@@ -1,9 +1,12 @@
 import {
   canRetry,
   recordRequest,
+  returnRetry,
+  settleRetry,
   takeRetry,
   tightestWindow,
   type Clock,
+  type Milliseconds,
   type RetryShare,
   type TightestWindow,
 } from '@yewkeel/decisions'
@@ -28,12 +31,21 @@
  * A send that another process rejected does not count as an attempt, but it still uses the free
  * first send or a paid retry: otherwise requests to restarted upstreams would be repeated outside
  * the budget.
+ *
+ * A send that is given up unheard may still arrive, since the upstream or the path may keep what was
+ * written. All sends but the one that arrives first are retries, by the time at which they arrive.
  */
 export class AttemptTracker {
   #attempts = 0
-  #arrivals = 0
+  #sends = 0
   /** Retries taken from the budget. */
   #paidRetries = 0
+  /** Retries of these that have arrived, or can arrive until a known time. */
+  #settledRetries = 0
+  /** Whether nothing has been heard of the last send. */
+  #isUnderWay = false
+  /** The earliest of the times at which sends arrived, or by which they arrive if they do. */
+  #firstArrivalBy: Milliseconds | undefined
   #possibleRuns = 0
   /** What the budget held when the last retry was taken from it. */
   #paidFrom: TightestWindow | undefined
@@ -84,17 +96,28 @@
   }
 
   recordSent(): void {
-    this.options.metrics.count('arrivals', this.#arrivals === 0 ? 'first' : 'repeat')
+    this.#giveUpSend()
+    this.options.metrics.count('arrivals', this.#sends === 0 ? 'first' : 'repeat')
+    this.#isUnderWay = true
     this.#attempts++
-    this.#arrivals++
+    this.#sends++
     this.#possibleRuns++
   }
 
+  /** The upstream was heard, or its connection ended: the last send does not arrive later. */
+  recordArrived(): void {
+    if (!this.#isUnderWay) return
+    this.#isUnderWay = false
+    this.#settle(this.options.clock.now())
+  }
+
   /** The last send transmitted no byte: its payment remains for the next. */
   recordUnsent(): void {
+    if (!this.#isUnderWay) return
     this.options.metrics.count('arrivals', 'unsent')
+    this.#isUnderWay = false
     this.#attempts--
-    this.#arrivals--
+    this.#sends--
     this.#possibleRuns--
   }
 
@@ -110,13 +133,38 @@
     this.#possibleRuns--
   }
 
+  /** The request is over, so that no more is sent: returns the retries that were not used. */
+  finish(): void {
+    this.#giveUpSend()
+    for (; this.#settledRetries < this.#paidRetries; this.#paidRetries--)
+      returnRetry(this.options.share)
+  }
+
+  /** The last send, if nothing was heard of it, may arrive within one more window. */
+  #giveUpSend(): void {
+    if (!this.#isUnderWay) return
+    const { clock, metrics, share } = this.options
+    this.#isUnderWay = false
+    metrics.count('arrivals', 'given-up')
+    this.#settle(clock.now() + share.limits.window)
+  }
+
+  #settle(arrivalBy: Milliseconds): void {
+    const first = this.#firstArrivalBy
+    this.#firstArrivalBy = Math.min(first ?? Infinity, arrivalBy)
+    if (first === undefined) return
+    this.#settledRetries++
+    const { share, clock } = this.options
+    settleRetry(share, Math.max(first, arrivalBy), clock.now())
+  }
+
   get #isWithinLimit(): boolean {
     return this.#attempts < this.options.maxAttempts
   }
 
   /** The next send is the free first one, or a retry that is already paid. */
   get #isNextPaid(): boolean {
-    return this.#arrivals <= this.#paidRetries
+    return this.#sends <= this.#paidRetries
   }
 
   get #canPayRetry(): boolean {
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -285,6 +285,7 @@
       {
         ...handler,
         onHead: head => {
+          this.#attempts.recordArrived()
           advertisements.recordAnswer(upstream, head, exchange.startedAt)
           this.#attemptLog.recordHead(head)
           return handler.onHead(head)
@@ -296,6 +297,10 @@
           if (exchange.pausedFor === 0) this.#suspect.recordProgress(attempt.begunAt)
           handler.onChunk(chunk)
         },
+        onFault: (fault, wasSent, detail) => {
+          if (fault === 'reset') this.#attempts.recordArrived()
+          handler.onFault(fault, wasSent, detail)
+        },
         onOver: () => heldRoom?.end(),
       },
     )
@@ -476,6 +481,8 @@
     this.isOver = true
     this.services.openRequests.delete(this)
     this.#pace.stop()
+    if (this.#exchange?.isUnsent) this.recordUnsent()
+    this.#attempts.finish()
     this.#exchange?.cancel()
     this.kept.release()
     if (this.#watch) void this.#watch.then(() => this.#suspect.endTrial())
--- a/packages/gateway/test/fleet.test.ts
+++ b/packages/gateway/test/fleet.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { retryShareOf, takeRetry, type ListedUpstream } from '@yewkeel/decisions'
+import { retryShareOf, settleRetry, takeRetry, type ListedUpstream } from '@yewkeel/decisions'
 import { createFleet, type Fleet, type FleetBox } from './testFleet.js'
 
 const DATA_CENTRES = ['alesund', 'bergen', 'maloy']
@@ -42,7 +42,8 @@
   for (const { gateway } of boxes) {
     const { retryShares, budgetBoxCount } = gateway.services
     const share = retryShareOf(retryShares, 'pool')
-    while (takeRetry(share, budgetBoxCount(), clock.now())) spent++
+    for (; takeRetry(share, budgetBoxCount(), clock.now()); spent++)
+      settleRetry(share, clock.now(), clock.now())
   }
   return spent
 }
--- a/packages/soak/src/checks/guarantees.ts
+++ b/packages/soak/src/checks/guarantees.ts
@@ -12,11 +12,12 @@
   storeAbsence,
   type GuaranteeCheck,
 } from './tolerances.js'
+import { excessOf } from '@yewkeel/decisions'
 import type { Arrival, Evidence, ObservedRollout } from './evidence.js'
 import type { Attempt, FaultSpan, GuaranteeName, Milliseconds, Violation } from './observations.js'
 import { ADVERTISEMENT_CHECKS } from './advertisementChecks.js'
 import { HARD_LOAD_CHECKS } from './hardLoadChecks.js'
-import { excessOf, worstRetryWindows } from './retryBudgetCheck.js'
+import { worstRetryWindows } from './retryBudgetCheck.js'
 
 /** How long after its deadline an attempt must have ended. */
 const MAX_ANSWER_DELAY: Milliseconds = 1_500
@@ -123,8 +124,8 @@
     worstRetryWindows(evidence, bounds)
       .filter(window => excessOf(window) > 0)
       .map(
-        ({ service, from, repeats, allowed }) =>
-          `${service} got ${repeats} repeats of ${Math.floor(allowed)} in the ${bounds.retryWindow} ms from ${Math.round(from)} on`,
+        ({ service, from, retries, allowed }) =>
+          `${service} got ${retries} repeats of ${Math.floor(allowed)} in the ${bounds.retryWindow} ms from ${Math.round(from)} on`,
       ),
 
   answered: evidence =>
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -10,7 +10,7 @@
 import { findViolations } from './checks/guarantees.js'
 import { judgedPhases } from './checks/hardLoadChecks.js'
 import type { FaultSpan, Violation } from './checks/observations.js'
-import { worstRetryWindows, type RetryBudgetWindow } from './checks/retryBudgetCheck.js'
+import { worstRetryWindows, type ServiceRetryWindow } from './checks/retryBudgetCheck.js'
 import { FAULT_KINDS, PLANNED_CHANGES, type ProxiedBox, type World } from './faults/faultKinds.js'
 import { startLoopbackProxy } from './faults/loopbackProxy.js'
 import { planFaults, type PlannedFault } from './faults/planFaults.js'
@@ -103,7 +103,7 @@
    */
   deadlyPart: { arrivals: number; crashes: number; seenWhole: number }
   /** The window of each service in which repeats came closest to their budget, or exceeded it most. */
-  retryWindows: RetryBudgetWindow[]
+  retryWindows: ServiceRetryWindow[]
   /** Bursts and floods in which the machine was idle enough to judge them. */
   judgedPhases: number
   violations: Violation[]
