A request that another box passed on earns once, and its send there is a retry if it was sent before

A request whose first box counted it and then lost its path was counted again by the box that it was passed on to, so that it earned retries twice; a call that a first box got and a second one repeated arrived at upstreams as a repeat that no budget paid, with all attempts of its route again.

Cause: the box that takes a request over counted as for callers of its own. Class: a limit on the whole that each box keeps by its own count.

Change: a box that passes a request on tells, beside the mark that only boxes can make, to how many upstreams it may have been sent, if a box has counted it. The other box then does not count it, pays for its first send if it was sent before, and has the attempts that are left, one at least.

Failed before: the mark told nothing, so that lateArrivals.test.ts (two cases of passed-on requests) had no count to go by.

--- a/packages/gateway/src/requests/admitCaller.ts
+++ b/packages/gateway/src/requests/admitCaller.ts
@@ -16,6 +16,8 @@
   organisation?: OrganisationKeys
   /** Another box passed it on, since it has no path to the upstreams; it is passed on no further. */
   isRelayed: boolean
+  /** To how many upstreams earlier boxes may have sent it; undefined if none has counted it. */
+  earlierSends: number | undefined
   /** Arrival plus the shorter of the caller's timeout and the route's. */
   deadline: Milliseconds
 }
@@ -74,6 +76,7 @@
     route,
     service: pickTarget(route, random),
     isRelayed: request.isRelayed ?? false,
+    earlierSends: request.earlierSends,
     ...(organisation && { organisation }),
     deadline: request.receivedAt + timeout,
   }
--- a/packages/gateway/src/requests/attemptTracker.ts
+++ b/packages/gateway/src/requests/attemptTracker.ts
@@ -23,6 +23,11 @@
   onBudget(isTaken: boolean, window: TightestWindow): void
   /** Maximum number of upstreams that accept the request. */
   maxAttempts: number
+  /**
+   * To how many upstreams other boxes may have sent the request; undefined if none has counted it for
+   * the budget. At least one attempt is left to this box.
+   */
+  earlierSends?: number | undefined
 }
 
 /**
@@ -51,7 +56,17 @@
   #paidFrom: TightestWindow | undefined
 
   constructor(private readonly options: AttemptTrackerOptions) {
-    recordRequest(options.share, options.clock.now())
+    const { earlierSends, maxAttempts, share, clock } = options
+    if (earlierSends === undefined) recordRequest(share, clock.now())
+    if (!earlierSends) return
+    this.#attempts = Math.min(earlierSends, maxAttempts - 1)
+    this.#sends = 1
+    this.#firstArrivalBy = clock.now()
+  }
+
+  /** Sends so far; those of other boxes count as one. */
+  get sends(): number {
+    return this.#sends
   }
 
   /** Upstreams that accepted the request, or may have. */
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -104,6 +104,7 @@
       onBudget: (isTaken, window) =>
         services.retryBudgetWatch.record(admitted.service, isTaken, window),
       maxAttempts: admitted.route.maxAttempts,
+      earlierSends: admitted.earlierSends,
     })
     this.#pace = new CallerPace({
       clock,
@@ -456,7 +457,7 @@
     if (this.isOver) return
     if (this.#mayBeRelayed) {
       this.finish('passed-on', undefined)
-      return relayToBox(this.services, this.admitted, this.answer)
+      return relayToBox(this.services, this.admitted, this.answer, this.#attempts.sends)
     }
     const isLate = this.timeLeft <= 0
     const status = !this.mayHaveRun ? NOT_RUN_STATUS : isLate ? 504 : 502
--- a/packages/gateway/src/requests/handleCaller.ts
+++ b/packages/gateway/src/requests/handleCaller.ts
@@ -56,7 +56,7 @@
   if (request.isBodyUnread || services.kept.isShort())
     return reject(services, request, fields.id, answer, { status: 503, reason: 'memory-short' })
   if (!admitted.isRelayed && services.paths.isLost(admitted.service))
-    return relayToBox(services, admitted, answer)
+    return relayToBox(services, admitted, answer, undefined)
   const forwarded = new ForwardedRequest(services, admitted, answer)
   FORWARDERS[admitted.route.kind](forwarded).catch((error: unknown) => {
     log.event('request-failed', { id: fields.id, error: String(error) })
--- a/packages/gateway/src/requests/relayToBox.ts
+++ b/packages/gateway/src/requests/relayToBox.ts
@@ -17,14 +17,17 @@
 
 /**
  * Passes a caller's request on to a box that has a path to its service, and the answer back as it
- * comes. That box decides, counts and retries as for callers of its own, and passes it on to none.
+ * comes. That box decides and retries as for callers of its own, and passes it on to none.
+ * `earlierSends`: to how many upstreams it may have been sent before; undefined if no box has counted
+ * it for the retry budget.
  */
 export function relayToBox(
   services: GatewayServices,
   admitted: AdmittedRequest,
   answer: CallerResponse,
+  earlierSends: number | undefined,
 ): void {
-  new BoxRelay(services, admitted, answer).start()
+  new BoxRelay(services, admitted, answer, earlierSends).start()
 }
 
 class BoxRelay implements OpenRequest {
@@ -43,6 +46,7 @@
     private readonly services: GatewayServices,
     private readonly admitted: AdmittedRequest,
     private readonly answer: CallerResponse,
+    private earlierSends: number | undefined,
   ) {}
 
   start(): void {
@@ -80,7 +84,7 @@
       {
         method: request.method,
         target: request.target,
-        headers: withRelayMark(headers, services.settings.peerSecret),
+        headers: withRelayMark(headers, services.settings.peerSecret, this.earlierSends),
         body: request.body,
         onNewConnection: route.kind === 'unsafe',
       },
@@ -109,6 +113,8 @@
 
   #handleFailure(error: Error, wasSent: boolean): void {
     this.#wasSent ||= wasSent
+    // The other box may have counted it, and sent it to an upstream.
+    if (wasSent) this.earlierSends = (this.earlierSends ?? 0) + 1
     const mayRepeat = !this.#wasSent || (this.admitted.route.kind === 'safe' && !this.#hasBegun)
     if (mayRepeat && this.#timeLeft > HOP_ALLOWANCE) return this.#tryNext()
     this.#fail(error.message)
--- a/packages/gateway/src/types/ports.ts
+++ b/packages/gateway/src/types/ports.ts
@@ -186,6 +186,8 @@
   body: Buffer
   /** Another box passed the request on. */
   isRelayed?: boolean
+  /** To how many upstreams earlier boxes may have sent it; undefined if none has counted it. */
+  earlierSends?: number | undefined
   /** The box had no memory for the body, so that the request has to be rejected. */
   isBodyUnread?: boolean
   receivedAt: Milliseconds
--- a/packages/gateway/test/lateArrivals.test.ts
+++ b/packages/gateway/test/lateArrivals.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import {
+  canRetry,
   createRetryShare,
   createSeededRandom,
   excessOf,
@@ -122,3 +123,38 @@
     }
   })
 })
+
+describe('the retry budget of a request that another box passed on', () => {
+  const track = (share: RetryShare, clock: ManualClock, earlierSends: number | undefined) =>
+    new AttemptTracker({
+      clock,
+      metrics: { count() {}, observe() {}, watch() {} },
+      share,
+      sharingBoxes: () => BOXES,
+      onBudget() {},
+      maxAttempts: MAX_ATTEMPTS,
+      earlierSends,
+    })
+  const noSlack = { limits: { ...LIMITS, slack: 0 }, slackFrom: 0 }
+
+  it('is earned once, at the box that counted it first', () => {
+    const clock = new ManualClock()
+    const share = createRetryShare(noSlack)
+    for (let request = 0; request < 100; request++) track(share, clock, 0).finish()
+    expect(canRetry(share, BOXES, clock.now())).to.equal(false)
+    for (let request = 0; request < 100; request++) track(share, clock, undefined).finish()
+    expect(canRetry(share, BOXES, clock.now())).to.equal(true)
+  })
+
+  it('is charged for its first send here if it was sent before, and its attempts go on', () => {
+    const clock = new ManualClock()
+    const share = createRetryShare(noSlack)
+    expect(track(share, clock, 0).takeAttempt()).to.equal(true)
+    expect(track(share, clock, 1).takeAttempt()).to.equal(false)
+    for (let request = 0; request < 100; request++) track(share, clock, undefined).finish()
+    const passedOn = track(share, clock, MAX_ATTEMPTS - 1)
+    expect(passedOn.takeAttempt()).to.equal(true)
+    passedOn.recordSent()
+    expect(passedOn.takeAttempt()).to.equal(false)
+  })
+})
