The trial of a version gets the requests that are allowed at any traffic

Change: beside the share, what may be exposed at any traffic (the setting's slack, 30 requests of all boxes) goes to the trial, four fifths of it, evenly over its time: each box an equal part, by the time that this process has known the order, so that a restart does not spend it again. Requests with a session keep to the share, since they would change version back.

--- a/packages/decisions/src/rollouts/rollout.ts
+++ b/packages/decisions/src/rollouts/rollout.ts
@@ -185,8 +185,18 @@
   storeNow: Milliseconds,
   limit: ExposureLimit,
 ): boolean {
+  return trialProgress(order, status, storeNow, limit) >= 1
+}
+
+/** The part of the trial phase that has passed; 1 at its end. */
+export function trialProgress(
+  order: RolloutOrder,
+  status: RolloutStatus,
+  storeNow: Milliseconds,
+  limit: ExposureLimit,
+): number {
   const { fullTrafficFrom } = planRamp(order, limit)
-  return elapsedFraction(order, status, storeNow) >= fullTrafficFrom - GROWTH_FRACTION
+  return elapsedFraction(order, status, storeNow) / (fullTrafficFrom - GROWTH_FRACTION)
 }
 
 function elapsedFraction(
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -344,6 +344,8 @@
     rank,
     answerReports: () => [{ box: identity.box, counts: rollouts.answers }, ...peers.answers()],
     exposureLimit: () => settings.exposureLimit,
+    exposureSlack: () => settings.exposureSlack,
+    sharingBoxes: () => services.budgetBoxCount(),
     onVerdict: announce,
     onBadAnswer: announceBadAnswer,
   })
--- a/packages/gateway/src/tasks/rolloutTask.ts
+++ b/packages/gateway/src/tasks/rolloutTask.ts
@@ -11,6 +11,7 @@
   resolveOrders,
   revisionOf,
   targetShare,
+  trialAllowance,
   excludeRejected,
   type AnswerCount,
   type Clock,
@@ -42,6 +43,10 @@
   answerReports(): readonly BoxAnswers[]
   /** Maximum share of a service's requests that a bad version may receive. */
   exposureLimit(): ExposureLimit
+  /** Requests that it may receive beyond that share, over all boxes. */
+  exposureSlack(): number
+  /** Number of boxes that share them. */
+  sharingBoxes(): number
   /** Called when this box finds a version bad or receives such a verdict. */
   onVerdict(): void
   /** Called on each bad answer of a version on trial. */
@@ -87,6 +92,8 @@
   #evidenceLoggedAt = -Infinity
   /** Services whose target ended its trial with unfavourable evidence. */
   readonly #doubtfulServices = new Set<string>()
+  /** Requests of this box that the target got beyond its share, by service. */
+  readonly #extraTrials = new Map<string, number>()
   /** Incremented when running requests must draw their versions again. */
   #admissionRevision = 0
   /** Versions by service that served before any order. */
@@ -185,6 +192,7 @@
     if (known) this.#replacedOrders = [known, ...this.#replacedOrders].slice(0, MAX_REPLACED_ORDERS)
     this.evaluator.forget(service)
     this.#orderedAt.delete(service)
+    this.#extraTrials.delete(service)
     this.#doubtfulServices.delete(service)
     this.#statuses.applyOrder(order)
     this.options.log.event('rollout-ordered', { ...order })
@@ -276,8 +284,10 @@
       keepsSessions: keepsSessions(order, status, storeNow),
     }
     const request = session === undefined ? {} : { session }
-    const isTarget = goesToTarget(shares, request, this.options.random)
     const versions = this.options.upstreams.readyVersions(service)
+    const isTarget =
+      goesToTarget(shares, request, this.options.random) ||
+      (session === undefined && versions.has(order.target) && this.#takeExtraTrial(order, storeNow))
     const others = [...versions.keys()].filter(version => version !== order.target)
     const hasOthers = others.length > 0
     const isCompleted = status && belongsToOrder(status, order) && status.state === 'completed'
@@ -294,6 +304,23 @@
     return excludeRejected(rejected, version => version !== order.target, versions.keys())
   }
 
+  /** Takes a request for the target's trial beyond its share. Sessions keep to the share. */
+  #takeExtraTrial(order: RolloutOrder, storeNow: Milliseconds): boolean {
+    if (this.#isMarkedBad(order)) return false
+    const { exposureLimit, exposureSlack, sharingBoxes } = this.options
+    const { service } = order
+    const used = this.#extraTrials.get(service) ?? 0
+    const allowed = trialAllowance(order, this.#statuses.find(service), storeNow, {
+      slack: exposureSlack(),
+      boxes: sharingBoxes(),
+      limit: exposureLimit(),
+      knownSince: this.#orderedAt.get(service) ?? storeNow,
+    })
+    if (used >= allowed) return false
+    this.#extraTrials.set(service, used + 1)
+    return true
+  }
+
   /** Without an order, admits only established versions as long as one of them is ready. */
   #admitEstablished(service: string): (version: string) => boolean {
     const versions = this.options.upstreams.readyVersions(service)
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -62,6 +62,8 @@
   coldOverage: { times: number; slack: number }
   /** Maximum share of a service's requests that a bad version may get, 0 to 1. */
   exposureLimit: ExposureLimit
+  /** Requests that a bad version may get beyond that share, over all boxes. */
+  exposureSlack: number
   /** Answers with a lower model confidence count as doubtful, 0 to 100. */
   confidenceThreshold: number
   parts: GatewayParts
--- a/packages/gateway/test/restoredRollout.test.ts
+++ b/packages/gateway/test/restoredRollout.test.ts
@@ -118,6 +118,8 @@
         rank: () => rank,
         answerReports: () => [{ box: `box-${rank}`, counts: task.answers }],
         exposureLimit: () => 0.15,
+        exposureSlack: () => 0,
+        sharingBoxes: () => 1,
         onVerdict() {},
         onBadAnswer() {},
       })
--- a/packages/gateway/test/rolloutTask.test.ts
+++ b/packages/gateway/test/rolloutTask.test.ts
@@ -24,6 +24,8 @@
     rank: () => 0,
     answerReports: () => [{ box: 'box-1', counts: task.answers }],
     exposureLimit: () => 0.15,
+    exposureSlack: () => 0,
+    sharingBoxes: () => 1,
     onVerdict() {},
     onBadAnswer() {},
     ...change,
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -241,6 +241,7 @@
           retries: { ratio: 0.9, slack: 50, window: 10_000 },
           coldOverage: { times: 1.5, slack: 5 },
           exposureLimit: 0.15,
+          exposureSlack: 30,
           confidenceThreshold: 60,
         },
         identity,
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -189,6 +189,7 @@
   retries: { ratio: 0.9, slack: 50, window: 10_000 },
   coldOverage: { times: 1.5, slack: 5 },
   exposureLimit: 0.15,
+  exposureSlack: 30,
   confidenceThreshold: 45,
 }
 
