Routes with few rated times are compared together, not left out

Cause: times are compared by route, and a route for which the other versions have under 20 ratings was left out of the comparison altogether: in a short roll-out with little traffic that is every route, so that 9 slow answers of 10 beside 9 of 22 said nothing.

Change: ratings of times say how an answer compares with those of its own route; routes without a baseline of their own are compared as one. Failures are still compared by route.

--- a/packages/decisions/src/exposure/isSignificantlyWorse.ts
+++ b/packages/decisions/src/exposure/isSignificantlyWorse.ts
@@ -32,7 +32,7 @@
  * Fewest ratings of the incumbent that make a baseline for a kind. Ratings of the same period are
  * used if there are enough, otherwise all of them; a kind with fewer is skipped.
  */
-const MIN_BASELINE_RATINGS = 20
+export const MIN_BASELINE_RATINGS = 20
 
 /** Whether the candidate is worse than the incumbent at significance level `alpha`. */
 export function isSignificantlyWorse(
--- a/packages/decisions/src/rollouts/versionEvidence.ts
+++ b/packages/decisions/src/rollouts/versionEvidence.ts
@@ -1,6 +1,7 @@
 import { OLDER_BLOCK, RETAINED_BLOCKS, type EvidenceTotal } from '../exposure/evidence.js'
 import {
   isSignificantlyWorse,
+  MIN_BASELINE_RATINGS,
   totalLogEvidence,
   type VersionEvidence,
   type SequentialTestOptions,
@@ -273,13 +274,15 @@
   test: VersionTest,
 ): boolean {
   if (sumCells(candidate).bad < test.minBad) return false
-  const baseline = mergeCells(others)
-  if (!isSignificantlyWorse(mergeCells(candidate), baseline, test)) return false
+  const kindOf = comparedKinds(others)
+  const baseline = mergeCells(others, kindOf)
+  if (!isSignificantlyWorse(mergeCells(candidate, kindOf), baseline, test)) return false
   if (upstreams <= 1) return true
   if (countUpstreams(candidate) < Math.min(test.minUpstreams, Math.ceil(upstreams / 2)))
     return false
   const rest = excludeWorstUpstreams(candidate, test)
-  return isSignificantlyWorse(mergeCells(rest), baseline, { ...test, alpha: EXCLUSION_ALPHA })
+  const confirmation = { ...test, alpha: EXCLUSION_ALPHA }
+  return isSignificantlyWorse(mergeCells(rest, kindOf), baseline, confirmation)
 }
 
 function isDoubtful(
@@ -289,9 +292,11 @@
   test: VersionTest,
 ): boolean {
   if (sumCells(candidate).bad < MIN_BAD_FOR_PROBABLE_FAULT) return false
-  const baseline = mergeCells(others)
+  const kindOf = comparedKinds(others)
+  const baseline = mergeCells(others, kindOf)
   const selected = upstreams <= 1 ? candidate : excludeWorstUpstreams(candidate, test)
-  return totalLogEvidence(mergeCells(selected), baseline, test.tolerance ?? 0) > DOUBT_LOG_EVIDENCE
+  const evidence = totalLogEvidence(mergeCells(selected, kindOf), baseline, test.tolerance ?? 0)
+  return evidence > DOUBT_LOG_EVIDENCE
 }
 
 const countUpstreams = (cells: readonly EvidenceCell[]): number =>
@@ -315,11 +320,32 @@
   return sorted.map(([upstream]) => upstream)
 }
 
-/** Sums cells by aspect and route, the kinds that are compared separately. */
-function mergeCells(cells: readonly EvidenceCell[]): VersionEvidence {
+/** The kind of evidence that a cell belongs to; kinds are compared separately. */
+type KindOf = (cell: EvidenceCell) => string
+
+/**
+ * Kinds by aspect and route. Times are rated against those of their own route, so that routes with
+ * too few ratings of the other versions are compared together.
+ */
+function comparedKinds(others: readonly EvidenceCell[]): KindOf {
+  const ofRoute: KindOf = ({ aspect, route }) => `${aspect} ${route}`
+  const ratings = new Map<string, number>()
+  for (const cell of others) {
+    const { good, bad } = sumCells([cell])
+    ratings.set(ofRoute(cell), (ratings.get(ofRoute(cell)) ?? 0) + good + bad)
+  }
+  return cell => {
+    const kind = ofRoute(cell)
+    const isKnown = (ratings.get(kind) ?? 0) >= MIN_BASELINE_RATINGS
+    return isKnown || cell.aspect === 'outcome' ? kind : cell.aspect
+  }
+}
+
+function mergeCells(cells: readonly EvidenceCell[], kindOf: KindOf): VersionEvidence {
   const merged = new Map<string, Map<number, EvidenceTotal>>()
-  for (const { aspect, route, blocks } of cells) {
-    const kind = `${aspect} ${route}`
+  for (const cell of cells) {
+    const { blocks } = cell
+    const kind = kindOf(cell)
     const kindBlocks = merged.get(kind) ?? new Map<number, EvidenceTotal>()
     merged.set(kind, kindBlocks)
     for (const [block, total] of blocks) addTotal(kindBlocks, block, total)
