A version is also judged by answers that are far slower than usual

Cause: an answer counted as slow from a little over the usual on, which one in four answers of a good version is; that an answer took eight times as long said no more. With twenty answers in a trial the rate of slow ones shows little.

Change: an aspect of its own, answers that take over twice the 0.9 quantile of recent ones of the other versions, of which good versions have almost none. Four of them can condemn a version, without its worst upstreams, as failures do.

Within the exposure limit with all boxes restarted four times.

--- a/packages/decisions/src/rollouts/versionEvidence.ts
+++ b/packages/decisions/src/rollouts/versionEvidence.ts
@@ -8,8 +8,11 @@
 } from '../exposure/isSignificantlyWorse.js'
 import type { Milliseconds } from '../types/clock.js'
 
-/** Rated aspects of an answer: completeness, time until it starts, and speed of the rest. */
-export const ANSWER_ASPECTS = ['outcome', 'start', 'pace'] as const
+/**
+ * Rated aspects of an answer: completeness, time until it starts, speed of the rest, and whether
+ * either is far from usual.
+ */
+export const ANSWER_ASPECTS = ['outcome', 'start', 'pace', 'delay'] as const
 export type AnswerAspect = (typeof ANSWER_ASPECTS)[number]
 
 /**
@@ -109,6 +112,8 @@
   { aspects: ['start'], tolerance: 0.05, ...LATENCY_TEST_OPTIONS },
   // A cold prefix cache delays the start of answers but not their pace, so this tolerance is lower.
   { aspects: ['pace'], tolerance: 0.02, ...LATENCY_TEST_OPTIONS },
+  // A few answers that are several times slower say more than many that are above the usual.
+  { aspects: ['delay'], tolerance: 0.05, ...LATENCY_TEST_OPTIONS, minBad: MIN_FAILURES },
   // Detects a version that is slightly slow in both aspects sooner than either test alone.
   { aspects: ['start', 'pace'], tolerance: 0.02, ...LATENCY_TEST_OPTIONS },
 ]
--- a/packages/gateway/src/tasks/versionEvaluator.ts
+++ b/packages/gateway/src/tasks/versionEvaluator.ts
@@ -27,7 +27,7 @@
 }
 
 /** Aspects of an answer that are timed and compared with recent answers of other versions. */
-export type TimedAspect = Exclude<AnswerAspect, 'outcome'>
+export type TimedAspect = Exclude<AnswerAspect, 'outcome' | 'delay'>
 
 /**
  * An answer is slow if it exceeds `factor` times the `quantile` of recent answers of other
@@ -40,6 +40,9 @@
   pace: { quantile: 0.5, factor: 1 },
 }
 
+/** An answer beyond this is far from usual, whatever the aspect. */
+const DELAY_LIMIT: SlowLimit = { quantile: 0.9, factor: 2 }
+
 /** Answer counts reported by one box. */
 export interface BoxAnswers {
   box: string
@@ -84,14 +87,18 @@
   recordDuration(key: AnswerKey, aspect: TimedAspect, sample: number): void {
     const recent = this.#recentOf(key, aspect)
     const slow = isSlow(recent, sample, SLOW_LIMITS[aspect])
+    const isDelayed = isSlow(recent, sample, DELAY_LIMIT)
     if (!this.options.isOnTrial(key.service, key.version)) recordDuration(recent, sample)
-    if (slow !== undefined) this.#count(key, aspect, !slow)
+    if (slow === undefined) return
+    this.#count(key, aspect, !slow)
+    this.#count(key, 'delay', !isDelayed)
   }
 
   /** Counts an unfinished answer as bad if it was already slow; otherwise ignores it. */
   recordUnfinished(key: AnswerKey, aspect: TimedAspect, sampleSoFar: number): void {
     const recent = this.#recentOf(key, aspect)
     if (isSlow(recent, sampleSoFar, SLOW_LIMITS[aspect])) this.#count(key, aspect, false)
+    if (isSlow(recent, sampleSoFar, DELAY_LIMIT)) this.#count(key, 'delay', false)
   }
 
   #recentOf({ service, route, model }: AnswerKey, aspect: TimedAspect): RecentDurations {
@@ -141,6 +148,7 @@
       outcome: sumEvidence(ledger, version, 'outcome'),
       start: sumEvidence(ledger, version, 'start'),
       pace: sumEvidence(ledger, version, 'pace'),
+      delay: sumEvidence(ledger, version, 'delay'),
     }
   }
 
--- a/packages/gateway/test/badVersion.test.ts
+++ b/packages/gateway/test/badVersion.test.ts
@@ -46,6 +46,34 @@
   })
 })
 
+describe('a version of a service with little traffic that is rolled out in a short time', function () {
+  this.timeout(60_000)
+  const LITTLE = { rate: 12, duration: 14_400, hasSessions: false }
+
+  for (const seed of [1, 2, 3]) {
+    it(`is not completed on few samples when half of its streams are eight times slower, seed ${seed}`, async () => {
+      const bad: BadVersion = { kind: 'slow', fraction: 0.5, slowdownFactor: 8 }
+      const result = await simulateRollout({ ...LITTLE, bad, seed })
+      expectBoundedExposure(result)
+      expect(result.state).to.equal('rolled-back')
+    })
+
+    it(`is completed when it is good, seed ${seed}`, async () => {
+      const result = await simulateRollout({ ...LITTLE, seed })
+      expect(result.state).to.equal('completed')
+    })
+  }
+
+  it('stays within the exposure limit when none of its faults is observable and boxes restart', async () => {
+    const restarts = [2_000, 5_000, 8_000, 11_000].map(at => ({
+      at,
+      inject: ({ fleet }: RolloutSimulation) => void fleet.restart([...fleet.boxes]),
+    }))
+    const bad: BadVersion = { kind: 'late', fraction: 1, onsetDelay: 1e9 }
+    expectBoundedExposure(await simulateRollout({ ...LITTLE, bad, faults: restarts }))
+  })
+})
+
 /** Faults during a rollout. */
 const CONCURRENT_FAULTS = {
   'half of the boxes restart repeatedly': [3_000, 9_000, 15_000, 18_000, 21_000].map(at => ({
--- a/packages/gateway/test/rolloutSimulation.ts
+++ b/packages/gateway/test/rolloutSimulation.ts
@@ -30,6 +30,8 @@
   duration?: Milliseconds
   /** Requests per second, all callers together. */
   rate?: number
+  /** Whether requests belong to sessions; they do by default. */
+  hasSessions?: boolean
   /** Further faults to inject; `at` counts from the rollout order. */
   faults?: readonly { at: Milliseconds; inject(simulation: RolloutSimulation): void }[]
 }
@@ -119,13 +121,14 @@
 }
 
 const dialect = createSimulatedDialect(get => ({
-  session: get('session')!,
+  ...(get('session') !== undefined && { session: get('session')! }),
   timeLeft: REQUEST_TIMEOUT,
 }))
 
-/** Simulates a rollout from `v1` to `v2`; every request belongs to a session. */
+/** Simulates a rollout from `v1` to `v2`. */
 export async function simulateRollout(options: RolloutScenario): Promise<RolloutSimulationResult> {
   const { seed = 1, boxes = 4, duration = 24_000, rate = 60, faults = [], bad } = options
+  const { hasSessions = true } = options
   const random = createSeededRandom(seed)
   const engines: SimulatedEngine[] = []
   const attempts: { at: Milliseconds; version: string; session: string }[] = []
@@ -166,7 +169,7 @@
         attempts.push({
           at: clock.now(),
           version: engine.version,
-          session: headerOf(headers, 'session')!,
+          session: headerOf(headers, 'session') ?? '',
         })
         const route = request.target.split('/')[1] as RouteName
         const fault = engine.version === 'v2' ? pickFault(engine, route) : undefined
@@ -244,7 +247,7 @@
         method: 'POST',
         host: '127.0.0.1',
         target: `/${route}/1`,
-        headers: ['id', `r${requests}`, 'session', session],
+        headers: ['id', `r${requests}`, ...(hasSessions ? ['session', session] : [])],
         body: Buffer.alloc(0),
         receivedAt: clock.now(),
       },
