What an upstream sends without end holds up nothing else

Cause: the HTTP client parses a whole read of 64 KB before it heeds that a head is too large, with an error for each further header (some 0.2 s); each chunk of an answer costs a callback and a write, whatever its size; informational heads were ignored in any number.

Change: what is received is handed over in pieces of 8 KB, and nothing once the connection is destroyed; an answer waits for its turn after each 64 chunks, one answer a turn of the event loop; the 33rd informational head ends the exchange.

--- a/packages/gateway/src/node/upstreamConnection.ts
+++ b/packages/gateway/src/node/upstreamConnection.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net'
 import { Client, type Dispatcher } from 'undici'
 import { isUnreachable, type createTimedConnector } from './connectTimeout.js'
+import { limitReads } from './limitReads.js'
 
 /** `unproven`: open, but the upstream may still reject it. `ready`: accepted and not in use. */
 export type ConnectionPhase = 'opening' | 'unproven' | 'ready' | 'busy' | 'closed'
@@ -217,6 +218,7 @@
       if (this.#isHandedOver || !socket || this.isBroken || socket.destroyed)
         return callback(new ConnectionEndedError(), null)
       this.#isHandedOver = true
+      limitReads(socket)
       socket.off('readable', this.#onReadable)
       socket.off('close', this.#onClose)
       socket.ref()
--- a/packages/gateway/src/node/upstreamConnectionPool.ts
+++ b/packages/gateway/src/node/upstreamConnectionPool.ts
@@ -3,6 +3,7 @@
 import type { RawHeaders } from '../types/ports.js'
 import type { ConnectionWaiter } from './connectionNeed.js'
 import { ConnectionSet, type ConnectionSetOptions } from './connectionSet.js'
+import { ReadingTurns } from './readingTurns.js'
 import { isReset, type UpstreamConnection } from './upstreamConnection.js'
 
 /** A request as it goes to an upstream. */
@@ -73,6 +74,13 @@
  */
 const MAX_CONNECTIONS_TRIED = 4
 
+/** Chunks of one answer in a row, after which it waits for its turn. */
+const CHUNKS_PER_TURN = 64
+/** Informational heads of one answer, after which the exchange fails. */
+const MAX_INFORMATIONAL_HEADS = 32
+/** Of all answers of this process. */
+const readingTurns = new ReadingTurns()
+
 /** What a pool needs beyond its address and clock, to keep connections ready. */
 export type ConnectionPoolOptions = Omit<ConnectionSetOptions, 'address' | 'clock'>
 
@@ -112,6 +120,10 @@
     let wasSent = false
     let tried = 0
     let isPaused = false
+    /** It waits for its turn to read on. */
+    let isWaiting = false
+    let chunks = 0
+    let informationalHeads = 0
     let answer: Dispatcher.DispatchController | undefined
     const finish = () => {
       isOver = true
@@ -143,16 +155,28 @@
       },
       onResponseStart: (controller, status) => {
         connections.recordHeard()
-        if (isOver || status < 200) return
+        if (isOver) return
+        if (status < 200) {
+          if (++informationalHeads > MAX_INFORMATIONAL_HEADS)
+            controller.abort(new Error('informational answers without end'))
+          return
+        }
         const raw = (controller.rawHeaders ?? []) as (Buffer | string)[]
         const headers = raw.map(part => (typeof part === 'string' ? part : part.toString('latin1')))
         const announced = announcedIdleTime(headers)
         if (announced !== undefined) connections.recordAnnouncedIdleTime(announced)
         listener.onHead(status, headers)
       },
-      onResponseData: (_controller, chunk) => {
+      onResponseData: (controller, chunk) => {
         connections.recordHeard()
         if (!isOver) listener.onChunk(chunk)
+        if (isOver || ++chunks % CHUNKS_PER_TURN !== 0) return
+        isWaiting = true
+        controller.pause()
+        readingTurns.wait(() => {
+          isWaiting = false
+          if (!isOver && !isPaused) controller.resume()
+        })
       },
       onResponseEnd: () => {
         if (isOver) return
@@ -194,7 +218,7 @@
       },
       resume: () => {
         isPaused = false
-        if (!isOver) answer?.resume()
+        if (!isOver && !isWaiting) answer?.resume()
       },
     }
   }
