--- /dev/null
+++ b/packages/soak/test/endlessBytes.test.ts
@@ -0,0 +1,239 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer as createHttpServer, type Server as HttpServer } from 'node:http'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
+import { expect } from 'chai'
+import { Agent, request } from 'undici'
+import {
+  CONFIGURATION_ROW,
+  HOST,
+  PATHS,
+  startRowsStandIn,
+  UPSTREAMS_TABLE,
+  writeAttempt,
+  writeConfiguration,
+  writeSettings,
+  writeUpstream,
+} from '@yewkeel/platform/stand-ins'
+import { findFreePorts } from '../src/index.js'
+
+const PROGRAM = fileURLToPath(new URL('../../../../platform/dist/src/main.js', import.meta.url))
+/** As a box runs on the platform. */
+const NODE_OPTIONS = ['--max-old-space-size=120', '--max-semi-space-size=2']
+const IP = `127.${1 + (process.pid % 250)}.241.1`
+const BOUNDS = {
+  keyRevocation: 5_000,
+  newsWithin: 2_000,
+  stopWithin: 6_000,
+  retryRatio: 0.9,
+  retrySlack: 20,
+  retryWindow: 10_000,
+  exposureShare: 0.15,
+  exposureSlack: 3,
+  rollBackWithin: 5_000,
+}
+const MAX_RESIDENT_MEGABYTES = 200
+const KILOBYTES_PER_MEGABYTE = 1_024
+const ENDLESS_REQUESTS = 16
+const OTHER_CALLERS = 60
+const OTHER_INTERVAL_MS = 50
+/** The latency objective of the other calls' route. */
+const OTHER_OBJECTIVE_MS = 400
+const TIME_LEFT_MS = 2_000
+/** After the time of its request a connection is closed within this. */
+const CLOSING_SLACK_MS = 1_500
+
+const FILL = 'x'.repeat(16_384)
+const headOf = (id: string, more: string) =>
+  `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: e1.${id}\r\n${more}`
+
+/** What an upstream sends without end, after a beginning. */
+const ENDLESS: Record<string, (id: string) => { beginning: string; repeated: string }> = {
+  'bytes that are no answer': () => ({ beginning: '', repeated: FILL }),
+  'a header': id => ({ beginning: headOf(id, 'Note: '), repeated: FILL }),
+  headers: id => ({ beginning: headOf(id, ''), repeated: 'Note: x\r\n'.repeat(1_024) }),
+  'informational answers': () => ({
+    beginning: '',
+    repeated: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(512),
+  }),
+  'a body in chunks': id => ({
+    beginning: headOf(id, 'Transfer-Encoding: chunked\r\n\r\n'),
+    repeated: `4000\r\n${FILL}\r\n`,
+  }),
+  'a body without length': id => ({ beginning: headOf(id, '\r\n'), repeated: FILL }),
+  'an error without a signature': id => ({
+    beginning: `HTTP/1.1 500 Error\r\nAttempt-Id: ${id}\r\n\r\n`,
+    repeated: FILL,
+  }),
+  'a rejection': id => ({
+    beginning: `HTTP/1.1 503 Busy\r\nAttempt-Id: ${id}\r\nNot-Executed: 1\r\n\r\n`,
+    repeated: FILL,
+  }),
+  'the extension of a chunk': id => ({
+    beginning: headOf(id, 'Transfer-Encoding: chunked\r\n\r\n4;note='),
+    repeated: FILL,
+  }),
+  trailers: id => ({
+    beginning: headOf(id, 'Transfer-Encoding: chunked\r\n\r\n0\r\n'),
+    repeated: 'Note: x\r\n'.repeat(1_024),
+  }),
+  'bytes after a whole answer': id => ({
+    beginning: headOf(id, 'Content-Length: 2\r\n\r\nok'),
+    repeated: FILL,
+  }),
+  'tiny chunks': id => ({
+    beginning: headOf(id, 'Transfer-Encoding: chunked\r\n\r\n'),
+    repeated: '1\r\nx\r\n'.repeat(2_048),
+  }),
+}
+
+/** Answers each request without end, as fast as it is read. */
+async function startEndlessUpstream(name: string): Promise<{ server: Server; open: Set<Socket> }> {
+  const open = new Set<Socket>()
+  const server = createServer(socket => {
+    socket.on('error', () => undefined)
+    socket.on('close', () => open.delete(socket))
+    socket.on('data', bytes => {
+      const id = /attempt-id: (\S+)/i.exec(bytes.toString('latin1'))?.[1]
+      if (id === undefined || open.has(socket)) return
+      open.add(socket)
+      const { beginning, repeated } = ENDLESS[name]!(id)
+      const send = () => {
+        while (!socket.destroyed && socket.write(repeated));
+      }
+      socket.on('drain', send)
+      socket.write(beginning)
+      send()
+    })
+  })
+  await new Promise<void>(resolve => server.listen(0, IP, resolve))
+  return { server, open }
+}
+
+async function startPlainUpstream(): Promise<HttpServer> {
+  const server = createHttpServer((message, response) => {
+    const id = String(message.headers['attempt-id'])
+    response.writeHead(200, { 'Attempt-Id': id, 'Server-Stamp': `d1.${id}` }).end('answer')
+  })
+  await new Promise<void>(resolve => server.listen(0, IP, resolve))
+  return server
+}
+
+const addressOf = (server: Server) => `${IP}:${(server.address() as AddressInfo).port}`
+
+function peakMemory({ pid }: ChildProcess): number {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8')
+  return Number(/VmHWM:\s+(\d+)/.exec(status)![1]) / KILOBYTES_PER_MEGABYTE
+}
+
+describe('a real box whose upstream sends without end', () => {
+  const closing: (() => unknown)[] = []
+  const agent = new Agent({ connections: 200 })
+  afterEach(async () => {
+    for (const close of closing.splice(0).reverse()) await close()
+  })
+  after(() => agent.destroy())
+
+  async function startBox(endless: Server): Promise<{ box: ChildProcess; entry: number }> {
+    const rows = await startRowsStandIn({ pageSize: 100, usesLongPolling: true })
+    closing.push(() => rows.close())
+    const plain = await startPlainUpstream()
+    closing.push(
+      () => plain.closeAllConnections(),
+      () => plain.close(),
+    )
+    rows.put(UPSTREAMS_TABLE, 'd1', writeUpstream('desk', 'v1', addressOf(plain), 'ready', 1, 50))
+    rows.put(UPSTREAMS_TABLE, 'e1', writeUpstream('pool', 'v1', addressOf(endless), 'ready', 1, 50))
+    const configuration = writeConfiguration(2, ['key-1'], 'desk') as {
+      routes: { name: string; service: string }[]
+    }
+    const routes = configuration.routes.map(route =>
+      route.name === 'unsafe' ? { ...route, service: 'pool' } : route,
+    )
+    rows.put(...CONFIGURATION_ROW, { ...configuration, routes })
+    const folder = mkdtempSync(join(tmpdir(), 'yewkeel-endless-'))
+    closing.push(() => rmSync(folder, { recursive: true }))
+    const [entry, readiness, directory, peers] = await findFreePorts(IP, 4)
+    const ports = { entry: entry!, readiness: readiness!, directory: directory!, peers: peers! }
+    const place = { box: 'box-0', dataCentre: 'ebene', ip: IP, ports, storeAddress: rows.address }
+    const file = join(folder, 'settings.toml')
+    writeFileSync(file, `${writeSettings(place, BOUNDS)}[limits]\nmemory_mb = 250\n`)
+    const env = { ...process.env, YEWKEEL_BOOT: file }
+    const box = spawn(process.execPath, [...NODE_OPTIONS, PROGRAM], { env, stdio: 'ignore' })
+    closing.push(() => box.kill('SIGKILL'))
+    for (let poll = 0; poll < 100; poll++) {
+      if ((await callOther(place.ports.entry, `ready-${poll}`)).status === 200) break
+      await sleep(50)
+    }
+    return { box, entry: place.ports.entry }
+  }
+
+  /** A call to the plain upstream: its status, 0 if it failed, and how long it took. */
+  async function callOther(port: number, id: string): Promise<{ status: number; took: number }> {
+    const headers = {
+      host: HOST,
+      ...writeAttempt({ id, key: 'key-1', timeLeft: TIME_LEFT_MS, session: id, isStream: false }),
+    }
+    const begunAt = performance.now()
+    const status = await request(`http://${IP}:${port}${PATHS.safe}`, {
+      headers,
+      dispatcher: agent,
+    })
+      .then(async ({ statusCode, body }) => {
+        await body.dump()
+        return statusCode
+      })
+      .catch(() => 0)
+    return { status, took: performance.now() - begunAt }
+  }
+
+  /** Sends a request to the endless upstream and reads what comes until it ends. */
+  async function askEndless(port: number, id: string, isStream: boolean): Promise<void> {
+    const attempt = writeAttempt({
+      id,
+      key: 'key-1',
+      timeLeft: TIME_LEFT_MS,
+      session: id,
+      isStream,
+    })
+    const path = isStream ? PATHS.streaming : PATHS.unsafe
+    await request(`http://${IP}:${port}${path}`, {
+      method: 'POST',
+      body: 'soak',
+      headers: { host: HOST, ...attempt },
+      dispatcher: agent,
+    })
+      .then(async ({ body }) => {
+        for await (const chunk of body) void chunk
+      })
+      .catch(() => undefined)
+  }
+
+  for (const name of Object.keys(ENDLESS))
+    it(`stays below 200 MB, serves others in time and closes on ${name}`, async function () {
+      this.timeout(60_000)
+      const { server, open } = await startEndlessUpstream(name)
+      closing.push(() => server.close())
+      const { box, entry } = await startBox(server)
+      const asked = Array.from({ length: ENDLESS_REQUESTS }, (_, index) =>
+        askEndless(entry, `endless-${index}`, index % 2 === 0),
+      )
+      const others: ReturnType<typeof callOther>[] = []
+      for (let index = 0; index < OTHER_CALLERS; index++) {
+        others.push(callOther(entry, `other-${index}`))
+        await sleep(OTHER_INTERVAL_MS)
+      }
+      const answers = await Promise.all(others)
+      const late = answers.filter(({ took }) => took > OTHER_OBJECTIVE_MS)
+      expect(peakMemory(box), 'megabytes').to.be.below(MAX_RESIDENT_MEGABYTES)
+      expect(answers.filter(({ status }) => status === 200).length).to.equal(OTHER_CALLERS)
+      expect(late.length, 'late calls of others').to.be.at.most(OTHER_CALLERS / 20)
+      await Promise.all(asked)
+      await sleep(CLOSING_SLACK_MS)
+      expect(open.size, 'connections that still send').to.equal(0)
+    })
+})
