--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -13,7 +13,7 @@
 import { worstRetryWindows, type ServiceRetryWindow } from './checks/retryBudgetCheck.js'
 import { FAULT_KINDS, PLANNED_CHANGES, type ProxiedBox, type World } from './faults/faultKinds.js'
 import { startLoopbackProxy } from './faults/loopbackProxy.js'
-import { planFaults, type PlannedFault } from './faults/planFaults.js'
+import { planBudgetFaults, planFaults, type PlannedFault } from './faults/planFaults.js'
 import {
   createBoxProcess,
   findFreePorts,
@@ -180,7 +180,11 @@
     key,
     now,
   })
-  const plan = options.plan ?? planFaults(random, seconds * 1_000)
+  const plan =
+    options.plan ??
+    [...planFaults(random, seconds * 1_000), ...planBudgetFaults(seed, seconds * 1_000)].sort(
+      (one, other) => one.at - other.at,
+    )
   const planned = options.rollout ?? planRollout(seed, seconds)
   const plannedCrashes = options.crashes ?? planCrashes(seed, seconds)
   const crashes =
