--- a/packages/gateway/src/node/limitReads.ts
+++ b/packages/gateway/src/node/limitReads.ts
@@ -4,7 +4,7 @@
  * Bytes that the HTTP client is given at once: it parses all of them before it heeds that they are
  * too many, which takes it long where they are many small headers.
  */
-const MAX_READ_BYTES = 8_192
+const MAX_READ_BYTES = 2_048
 
 /** Hands what a socket has received to its reader in small pieces, and nothing once it is destroyed. */
 export function limitReads(socket: Socket): void {
--- /dev/null
+++ b/packages/soak/test/singleBox.ts
@@ -0,0 +1,71 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import {
+  CONFIGURATION_ROW,
+  startRowsStandIn,
+  UPSTREAMS_TABLE,
+  writeSettings,
+} from '@yewkeel/platform/stand-ins'
+import { findFreePorts } from '../src/index.js'
+
+const PROGRAM = fileURLToPath(new URL('../../../../platform/dist/src/main.js', import.meta.url))
+/** As a box runs on the platform. */
+const NODE_OPTIONS = ['--max-old-space-size=120', '--max-semi-space-size=2']
+const BOUNDS = {
+  keyRevocation: 5_000,
+  newsWithin: 2_000,
+  stopWithin: 6_000,
+  retryRatio: 0.9,
+  retrySlack: 3,
+  retryWindow: 10_000,
+  exposureShare: 0.15,
+  exposureSlack: 3,
+  rollBackWithin: 5_000,
+}
+const KILOBYTES_PER_MEGABYTE = 1_024
+
+/** The rows that a box finds in the store. */
+export interface StoredRows {
+  configuration: object
+  /** Upstreams by their names. */
+  upstreams: Record<string, object>
+}
+
+/** A box of 250 MB that runs as a process of its own. */
+export interface SingleBox {
+  box: ChildProcess
+  /** Port for callers. */
+  entry: number
+}
+
+/** Starts a box and its store on a loopback address. `closing` gets what ends them, in order. */
+export async function startSingleBox(
+  ip: string,
+  { configuration, upstreams }: StoredRows,
+  closing: (() => unknown)[],
+): Promise<SingleBox> {
+  const rows = await startRowsStandIn({ pageSize: 100, usesLongPolling: true })
+  closing.push(() => rows.close())
+  for (const [name, row] of Object.entries(upstreams)) rows.put(UPSTREAMS_TABLE, name, row)
+  rows.put(...CONFIGURATION_ROW, configuration)
+  const folder = mkdtempSync(join(tmpdir(), 'yewkeel-box-'))
+  closing.push(() => rmSync(folder, { recursive: true }))
+  const [entry, readiness, directory, peers] = await findFreePorts(ip, 4)
+  const ports = { entry: entry!, readiness: readiness!, directory: directory!, peers: peers! }
+  const place = { box: 'box-0', dataCentre: 'ebene', ip, ports, storeAddress: rows.address }
+  const file = join(folder, 'settings.toml')
+  writeFileSync(file, `${writeSettings(place, BOUNDS)}[limits]\nmemory_mb = 250\n`)
+  const env = { ...process.env, YEWKEEL_BOOT: file }
+  const box = spawn(process.execPath, [...NODE_OPTIONS, PROGRAM], { env, stdio: 'ignore' })
+  closing.push(() => box.kill('SIGKILL'))
+  return { box, entry: ports.entry }
+}
+
+/** The most memory that a running process has taken, in megabytes. */
+export function peakMemory({ pid }: ChildProcess): number {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8')
+  return Number(/VmHWM:\s+(\d+)/.exec(status)![1]) / KILOBYTES_PER_MEGABYTE
+}
