--- a/review/lib-2/streamRunner.mjs
+++ b/review/lib-2/streamRunner.mjs
@@ -7,7 +7,7 @@
 import { clearInterval, setInterval } from 'node:timers'
 import { signedHead, startRunner } from './world.mjs'
 
-const { RUNNER_ID, RUNNER_HOST, UNFRAMED_EACH, EVENTS, EVENT_INTERVAL } = process.env
+const { RUNNER_ID, RUNNER_HOST, RUNNER_PORT, UNFRAMED_EACH, EVENTS, EVENT_INTERVAL } = process.env
 const unframedEach = Number(UNFRAMED_EACH ?? Infinity)
 const events = Number(EVENTS)
 let count = 0
@@ -39,6 +39,7 @@
 }
 
 const record = { add() {} }
-const runner = await startRunner({ id: RUNNER_ID, record, answer, host: RUNNER_HOST })
+const port = Number(RUNNER_PORT ?? 0)
+const runner = await startRunner({ id: RUNNER_ID, record, answer, host: RUNNER_HOST, port })
 tell({ type: 'ready', address: runner.address })
 process.on('disconnect', () => process.exit())
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -120,6 +120,10 @@
     address: `${host}:${server.address().port}`,
     put: (table, key, content) =>
       put(table, key, Buffer.from(JSON.stringify(content)).toString('base64')),
+    read(table, key) {
+      const row = rows.get(`${table}/${key}`)
+      return row && JSON.parse(Buffer.from(row.value, 'base64'))
+    },
     remove(table, key) {
       newest++
       rows.delete(`${table}/${key}`)
@@ -311,7 +315,7 @@
  * A runner. `answer(run)` writes the answer of one request: `run` holds what arrived and its socket.
  * Answers `Expect-Instance` of another runner with 421, and its health path.
  */
-export async function startRunner({ id, record, answer, host = nextHost() }) {
+export async function startRunner({ id, record, answer, host = nextHost(), port = 0 }) {
   const runs = []
   const sockets = new Set()
   const server = createServer({ keepAliveTimeout: 20_000 }, (request, response) => {
@@ -339,7 +343,7 @@
     socket.on('error', () => {})
     socket.once('close', () => sockets.delete(socket))
   })
-  await new Promise(resolve => server.listen(0, host, resolve))
+  await new Promise(resolve => server.listen(port, host, resolve))
   return {
     id,
     runs,
@@ -467,8 +471,16 @@
   }
 }
 
-/** Starts `streamRunner.mjs` as a process of its own. */
-export async function startRunnerProcess({ id, record, events, eventInterval, unframedEach }) {
+/** Starts `streamRunner.mjs` as a process of its own; at a given address if it is back there. */
+export async function startRunnerProcess({
+  id,
+  record,
+  events,
+  eventInterval,
+  unframedEach,
+  host = nextHost(),
+  port = '0',
+}) {
   const child = spawn(
     process.execPath,
     [fileURLToPath(new URL('streamRunner.mjs', import.meta.url))],
@@ -476,7 +488,8 @@
       env: {
         PATH: process.env.PATH,
         RUNNER_ID: id,
-        RUNNER_HOST: nextHost(),
+        RUNNER_HOST: host,
+        RUNNER_PORT: port,
         EVENTS: String(events),
         EVENT_INTERVAL: String(eventInterval),
         ...(unframedEach !== undefined && { UNFRAMED_EACH: String(unframedEach) }),
