--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -184,7 +184,7 @@
 })
 
 /** Settings as the page on deployment shows them, with its figures. */
-export function settingsText({ name, ip, ports, storeAddress, seeds = [] }) {
+export function settingsText({ name, ip, ports, storeAddress, seeds = [], memoryMegabytes = 200 }) {
   const [entry, readiness, control, directory, first] = ports
   return `node_name = "${name}"
 role = "gateway"
@@ -210,7 +210,7 @@
 [limits]
 cpu_share = 0.675
 cores = 1
-memory_mb = 200
+memory_mb = ${memoryMegabytes}
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -250,7 +250,7 @@
 }
 
 /** Starts a box with the command of the deploy file. */
-export async function startBox({ name, storeAddress, record }) {
+export async function startBox({ name, storeAddress, record, memoryMegabytes }) {
   const [, command] = /^run = "([^"]*)"/m.exec(
     readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8'),
   )
@@ -259,7 +259,7 @@
   const ports = await freePorts(ip, 5)
   const folder = mkdtempSync(join(tmpdir(), 'review-'))
   const settings = join(folder, 'local.toml')
-  writeFileSync(settings, settingsText({ name, ip, ports, storeAddress }))
+  writeFileSync(settings, settingsText({ name, ip, ports, storeAddress, memoryMegabytes }))
   const [program, ...words] = command.split(' ')
   const child = spawn(program, words, {
     cwd: ROOT,
