--- a/packages/soak/src/checks/guarantees.ts
+++ b/packages/soak/src/checks/guarantees.ts
@@ -1,9 +1,4 @@
-import {
-  isQuarantined,
-  STREAM_EVENTS,
-  ROUTE_TIMEOUT_MS,
-  type DeploymentBounds,
-} from '@yewkeel/platform/stand-ins'
+import { isQuarantined, ROUTE_TIMEOUT_MS, type DeploymentBounds } from '@yewkeel/platform/stand-ins'
 import {
   affectsBoxes,
   FAULT_SETTLE_DURATION,
@@ -18,6 +13,7 @@
 import { ADVERTISEMENT_CHECKS } from './advertisementChecks.js'
 import { HARD_LOAD_CHECKS } from './hardLoadChecks.js'
 import { worstRetryWindows } from './retryBudgetCheck.js'
+import { eventNumbers, streamEndingOf } from './streamEnding.js'
 
 /** How long after its deadline an attempt must have ended. */
 const MAX_ANSWER_DELAY: Milliseconds = 1_500
@@ -30,21 +26,18 @@
 const attemptsOf = (evidence: Evidence) => [...evidence.attempts.values()]
 const executionsOf = (evidence: Evidence, id: string) => evidence.executions.get(id) ?? []
 
-/** The ids of the complete events in the body of a stream. */
-function eventNumbers(text: string): number[] {
-  return [...text.matchAll(/(?<=^|\n)id: (\d+)\ndata: [^\n]*\n\n/g)].map(found => Number(found[1]))
-}
-
 /** The check of each guarantee. */
 const CHECKS: Record<GuaranteeName, GuaranteeCheck> = {
   'own-answer': evidence =>
     attemptsOf(evidence)
       .filter(attempt => isSuccess(attempt) && attempt.end!.isWhole)
-      .filter(({ id, kind, end }) => {
+      .filter(({ id, kind, end, lastEventId }) => {
         if (end!.answersId !== id || !end!.isSigned) return true
         const executions = executionsOf(evidence, id)
         if (executions.length === 0) return true
-        return kind === 'streaming' ? !end!.body.includes(id) : end!.body !== `answer to ${id}`
+        if (kind !== 'streaming') return end!.body !== `answer to ${id}`
+        // Nothing may follow the last event that its caller has.
+        return !end!.body.includes(id) && !(lastEventId !== undefined && end!.body === '')
       })
       .map(({ id, kind }) => `${kind} ${id} was answered with what is not its answer`),
 
@@ -62,10 +55,11 @@
   'whole-stream': evidence =>
     attemptsOf(evidence)
       .filter(attempt => attempt.kind === 'streaming' && isSuccess(attempt))
-      .filter(({ end }) => {
+      .filter(attempt => {
+        const { end, lastEventId = 0 } = attempt
         const numbers = eventNumbers(end!.body)
-        if (numbers.some((number, at) => number !== at + 1)) return true
-        return end!.isWhole && numbers.length !== STREAM_EVENTS
+        if (numbers.some((number, at) => number !== lastEventId + at + 1)) return true
+        return streamEndingOf(attempt) === 'short'
       })
       .map(({ id, end }) => `${id} has events ${eventNumbers(end!.body).join(' ')}`),
 
--- a/packages/soak/src/checks/observations.ts
+++ b/packages/soak/src/checks/observations.ts
@@ -24,6 +24,8 @@
   box: string
   sentAt: Milliseconds
   timeLeft: Milliseconds
+  /** The last event that the caller has of an earlier answer. */
+  lastEventId?: number
   /** Undefined for the usual callers. Priority 0 is the most urgent. */
   load?: { service: string; organisation: string; priority: number }
   end?: AttemptEnd
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -1,4 +1,5 @@
 import { createSeededRandom, type Random } from '@yewkeel/decisions'
+import { FIRST_SEED_WITH_EARLY_ENDS } from '../world/earlyEnds.js'
 import { FAULT_KINDS, UNDRAWN_KINDS } from './faultKinds.js'
 
 /** A fault to inject. `at`: ms since the start of fault injection; `duration` in ms. */
@@ -46,7 +47,7 @@
  * to other boxes and back, and connections that are silent for a while.
  */
 export function planBudgetFaults(seed: number, span: number): PlannedFault[] {
-  if (seed < FIRST_SEED_WITH_BUDGET_FAULTS) return []
+  if (seed < FIRST_SEED_WITH_BUDGET_FAULTS || seed >= FIRST_SEED_WITH_EARLY_ENDS) return []
   const random = createSeededRandom(seed * SEED_FACTOR)
   // The first draws of such seeds are alike.
   for (let drawn = 0; drawn < DISCARDED_DRAWS; drawn++) random()
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,6 +1,7 @@
 export * from './checks/evidence.js'
 export * from './checks/guarantees.js'
 export * from './checks/observations.js'
+export * from './checks/streamEnding.js'
 export * from './faults/faultKinds.js'
 export * from './faults/loopbackProxy.js'
 export * from './faults/planFaults.js'
--- a/packages/soak/src/node/main.ts
+++ b/packages/soak/src/node/main.ts
@@ -5,6 +5,7 @@
 import { defineCommand, runMain } from 'citty'
 import { parseKnownRed } from '../knownRed.js'
 import { parseSeedRange } from '../parseSeedRange.js'
+import type { StreamEnding } from '../checks/streamEnding.js'
 import { runSeed, type SeedOptions, type SeedResult } from '../runSeed.js'
 
 const BOX_PROGRAM = fileURLToPath(
@@ -124,12 +125,21 @@
     served: sum(({ served }) => served),
     faults: sum(({ faults }) => faults),
     killed: sum(({ killed }) => killed),
+    streams: streamCounts(results),
     judgedPhases: sum(({ judgedPhases }) => judgedPhases),
     violations: sum(({ violations }) => violations.length),
     failedSeeds: failed.map(({ seed }) => seed).sort((left, right) => left - right),
   }
 }
 
+/** How many streams ended in which way. */
+function streamCounts(results: readonly SeedResult[]): Partial<Record<StreamEnding, number>> {
+  const counts: Partial<Record<StreamEnding, number>> = {}
+  for (const { ending } of results.flatMap(({ streams }) => streams))
+    counts[ending] = (counts[ending] ?? 0) + 1
+  return counts
+}
+
 function report({
   seed,
   requests,
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -11,6 +11,7 @@
 import { judgedPhases } from './checks/hardLoadChecks.js'
 import type { FaultSpan, Violation } from './checks/observations.js'
 import { worstRetryWindows, type ServiceRetryWindow } from './checks/retryBudgetCheck.js'
+import { observedStreams, type ObservedStream } from './checks/streamEnding.js'
 import { FAULT_KINDS, PLANNED_CHANGES, type ProxiedBox, type World } from './faults/faultKinds.js'
 import { startLoopbackProxy } from './faults/loopbackProxy.js'
 import { planBudgetFaults, planFaults, type PlannedFault } from './faults/planFaults.js'
@@ -28,6 +29,7 @@
   type PlannedCrashes,
 } from './world/crashes.js'
 import { DeadlyParts, planDeadlyPart, type PlannedDeadlyPart } from './world/deadlyParts.js'
+import { planEarlyEnds } from './world/earlyEnds.js'
 import { planRollout, Rollout, type PlannedRollout } from './world/rollout.js'
 import {
   planAdvertisements,
@@ -80,6 +82,8 @@
   deadlyPart?: PlannedDeadlyPart
   /** Fraction of the streams that have neither a length nor chunks; none by default. */
   unframedShare?: number
+  /** Fraction of these that end early, in order, at an upstream that lives on; none by default. */
+  earlyEndShare?: number
   /** Replaces the advertisements of upstreams planned for the seed. */
   advertisements?: readonly PlannedAdvertisement[]
   /** Replaces the returns of the store from a copy planned for the seed. */
@@ -102,6 +106,7 @@
    * those whose answer looked whole.
    */
   deadlyPart: { arrivals: number; crashes: number; seenWhole: number }
+  streams: ObservedStream[]
   /** The window of each service in which repeats came closest to their budget, or exceeded it most. */
   retryWindows: ServiceRetryWindow[]
   /** Bursts and floods in which the machine was idle enough to judge them. */
@@ -149,13 +154,16 @@
   const bounds = hardLoad ? { ...BOUNDS, memoryMegabytes: HARD_LOAD_MEMORY_MEGABYTES } : BOUNDS
   const operators = createOperators(rows, evidence, now, hardLoad !== undefined)
   const plannedPart = options.deadlyPart ?? planDeadlyPart(seed)
+  const plannedEnds = planEarlyEnds(seed)
   const upstreams = new Upstreams({
     host: loopbackAddress(seed, 0),
     rows,
     random,
     evidence,
     now,
-    unframedShare: options.unframedShare ?? plannedPart?.unframedShare ?? 0,
+    unframedShare:
+      options.unframedShare ?? plannedPart?.unframedShare ?? plannedEnds?.unframedShare ?? 0,
+    earlyEndShare: options.earlyEndShare ?? plannedEnds?.earlyEndShare ?? 0,
     deadlyEnding: plannedPart?.ending,
     timesLonger: plannedPart?.timesLonger,
     ...(hardLoad && {
@@ -280,6 +288,7 @@
       crashes: evidence.deadlyRequests.crashes.length,
       seenWhole: evidence.deadlyRequests.seenWhole.length,
     },
+    streams: observedStreams(attempts),
     retryWindows: worstRetryWindows(evidence, bounds),
     judgedPhases: judgedPhases(evidence).length,
     violations,
--- a/packages/soak/src/world/callers.ts
+++ b/packages/soak/src/world/callers.ts
@@ -10,8 +10,11 @@
 } from '@yewkeel/platform/stand-ins'
 import { pickWeighted, type Random } from '@yewkeel/decisions'
 import { buildConnector, Client, request, type Dispatcher } from 'undici'
+import { Readable } from 'node:stream'
 import type { Evidence } from '../checks/evidence.js'
 import type { Attempt, AttemptEnd } from '../checks/observations.js'
+import { lastEventOf, streamEndingOf } from '../checks/streamEnding.js'
+import { FIRST_SEED_WITH_EARLY_ENDS } from './earlyEnds.js'
 
 /** The addresses (`host:port`) at which callers reach a box. */
 export interface CallerTarget {
@@ -54,6 +57,12 @@
 /** Fraction of the attempts after which the caller closes its connection. */
 const RECONNECT_FRACTION = 0.1
 const DIRECTORY_TIMEOUT_MS = 1_000
+/** In lower seeds no caller comes back for the rest of a stream, so that regressions replay unchanged. */
+const FIRST_SEED_WITH_RETURNS = FIRST_SEED_WITH_EARLY_ENDS
+/** How often a caller comes back for the rest of one stream. */
+const MAX_RETURNS = 2
+/** Fraction of the requests whose bodies come in chunks. */
+const CHUNKED_BODY_FRACTION = 0.3
 /** Added to an attempt's time limit, so that late answers are recorded. */
 const LATE_ANSWER_TIMEOUT_MS = 2_500
 
@@ -149,8 +158,36 @@
     { target, client }: { target: CallerTarget; client: Client },
     caller: number,
   ): Promise<boolean> {
-    const { evidence, random, now, key, seed } = this.options
+    const { random } = this.options
     const kind = pickWeighted(KIND_WEIGHTS, ({ weight }) => weight, random)!.kind
+    const attempt = await this.#send(target, client, caller, kind)
+    if (this.options.seed >= FIRST_SEED_WITH_RETURNS) await this.#askForRest(attempt, caller)
+    return attempt.end!.isWhole
+  }
+
+  /** Comes back, at any box, for what follows the events of a stream that was broken off. */
+  async #askForRest(stream: Attempt, caller: number): Promise<void> {
+    const { targets, random } = this.options
+    let last = stream
+    for (let returns = 0; returns < MAX_RETURNS; returns++) {
+      const ending = streamEndingOf(last)
+      if (last.kind !== 'streaming' || (ending !== 'cut' && ending !== 'not-ended')) return
+      if (lastEventOf(last) === 0) return
+      const target = targets[Math.floor(random() * targets.length)]!
+      const client = createClient(target.proxyAddress)
+      last = await this.#send(target, client, caller, 'streaming', lastEventOf(last))
+      await client.destroy()
+    }
+  }
+
+  async #send(
+    target: CallerTarget,
+    client: Client,
+    caller: number,
+    kind: AttemptKind,
+    lastEventId?: number,
+  ): Promise<Attempt> {
+    const { evidence, random, now, key, seed } = this.options
     const attempt: Attempt = {
       id: `${seed.toString(16)}-${(++this.#attemptCount).toString(16)}`,
       kind,
@@ -158,12 +195,13 @@
       box: target.box,
       sentAt: now(),
       timeLeft: ROUTE_TIMEOUT_MS[kind] + 500,
+      ...(lastEventId !== undefined && { lastEventId }),
     }
     evidence.attempts.set(attempt.id, attempt)
     const session = `${caller}-${Math.floor(now() / SESSION_DURATION_MS)}`
-    const end = await exchange(client, attempt, session, now)
-    attempt.end = end
-    return end.isWhole
+    const isChunked = seed >= FIRST_SEED_WITH_RETURNS && random() < CHUNKED_BODY_FRACTION
+    attempt.end = await exchange(client, attempt, session, now, { isChunked })
+    return attempt
   }
 }
 
@@ -200,7 +238,14 @@
     path = PATHS[attempt.kind],
     body: sentBody = 'soak',
     sharedParts,
-  }: { path?: string; body?: string; sharedParts?: readonly string[] } = {},
+    isChunked = false,
+  }: {
+    path?: string
+    body?: string
+    sharedParts?: readonly string[]
+    /** The request's body comes in chunks. */
+    isChunked?: boolean
+  } = {},
 ): Promise<AttemptEnd> {
   return new Promise(resolve => {
     let status = 0
@@ -218,7 +263,7 @@
       onResponseEnd: () => end(!resetClients.has(client)),
       onResponseError: () => end(false),
     }
-    const { id, key, timeLeft, kind } = attempt
+    const { id, key, timeLeft, kind, lastEventId } = attempt
     client.dispatch(
       {
         method: kind === 'safe' ? 'GET' : 'POST',
@@ -231,12 +276,13 @@
             timeLeft,
             session,
             isStream: kind === 'streaming',
+            lastEventId,
             ...(sharedParts && { sharedParts }),
           }),
         },
         headersTimeout: timeLeft + LATE_ANSWER_TIMEOUT_MS,
         bodyTimeout: timeLeft + LATE_ANSWER_TIMEOUT_MS,
-        ...(kind !== 'safe' && { body: sentBody }),
+        ...(kind !== 'safe' && { body: isChunked ? Readable.from([sentBody]) : sentBody }),
       },
       handler,
     )
--- a/packages/soak/src/world/deadlyParts.ts
+++ b/packages/soak/src/world/deadlyParts.ts
@@ -3,6 +3,7 @@
 import type { Evidence } from '../checks/evidence.js'
 import type { Attempt } from '../checks/observations.js'
 import { createClient, exchange, type CallerTarget } from './callers.js'
+import { FIRST_SEED_WITH_EARLY_ENDS } from './earlyEnds.js'
 
 /** Streams of which no two are alike, with one part that crashes upstreams. */
 export interface PlannedDeadlyPart {
@@ -40,7 +41,7 @@
 const UNFRAMED_SHARE = 0.3
 
 export function planDeadlyPart(seed: number): PlannedDeadlyPart | undefined {
-  if (seed < FIRST_SEED_WITH_DEADLY_PART) return undefined
+  if (seed < FIRST_SEED_WITH_DEADLY_PART || seed >= FIRST_SEED_WITH_EARLY_ENDS) return undefined
   const random = createSeededRandom(seed * SEED_FACTOR)
   // The first draws of such seeds are alike.
   for (let drawn = 0; drawn < DISCARDED_DRAWS; drawn++) random()
--- a/packages/soak/src/world/upstreams.ts
+++ b/packages/soak/src/world/upstreams.ts
@@ -30,6 +30,8 @@
   now(): number
   /** Fraction of the streams without a length and chunks. */
   unframedShare?: number
+  /** Fraction of these that end early, in order, at an upstream that lives on. */
+  earlyEndShare?: number
   /** How upstreams end under the deadly part; the stand-in's default if undefined. */
   deadlyEnding?: DeadlyEnding | undefined
   /** How many times as long every other upstream works. */
@@ -216,6 +218,7 @@
         void evidence.advertisingAnswers.push({ instance, id, content, at: now() }),
     })
     standIn.faults.unframedShare = this.options.unframedShare ?? 0
+    standIn.faults.earlyEndShare = this.options.earlyEndShare ?? 0
     if (deadlyEnding) standIn.faults.deadlyEnding = deadlyEnding
     if (timesLonger !== undefined && this.#instanceCount % 2 === 0)
       standIn.faults.timesLonger = timesLonger
--- a/packages/soak/test/endedEarly.test.ts
+++ b/packages/soak/test/endedEarly.test.ts
@@ -33,16 +33,25 @@
   answering: Set<Socket>
 }
 
-/** After so many events the upstream ends an answer that began at the first. */
-type CutAfter = number | undefined
+/** How upstreams end answers early; not at all by default. */
+interface EarlyEnds {
+  /** The first upstream ends an answer that began at the first event after so many. */
+  cutAfter?: number
+  /** Each ends the next so many answers that go on from a later event before their first, in order. */
+  emptyRests?: number
+}
 
 /** Sends the events after `from`, without a length unless it goes on from an earlier answer. */
-async function answer(socket: Socket, id: string, from: number, cutAfter: CutAfter): Promise<void> {
+async function answer(socket: Socket, id: string, from: number, ends: EarlyEnds): Promise<void> {
   const isResumed = from > 0
+  if (isResumed && ends.emptyRests) {
+    ends.emptyRests--
+    return void socket.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: e.${id}\r\n\r\n`)
+  }
   const framing = isResumed ? 'Transfer-Encoding: chunked\r\n' : ''
   socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: e.${id}\r\n${framing}\r\n`)
   for (let event = from + 1; event <= EVENTS && !socket.destroyed; event++) {
-    if (!isResumed && cutAfter !== undefined && event > cutAfter) break
+    if (!isResumed && ends.cutAfter !== undefined && event > ends.cutAfter) break
     const text = `id: ${event}\ndata: word\n\n`
     socket.write(isResumed ? `${text.length.toString(16)}\r\n${text}\r\n` : text)
     await sleep(EVENT_INTERVAL_MS)
@@ -51,7 +60,7 @@
   else socket.end()
 }
 
-async function startUpstream(cutAfter: CutAfter): Promise<Upstream> {
+async function startUpstream(ends: EarlyEnds): Promise<Upstream> {
   const answering = new Set<Socket>()
   const server = createServer(socket => {
     socket.on('error', () => undefined)
@@ -62,7 +71,7 @@
       if (id === undefined) return
       answering.add(socket)
       const from = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0)
-      void answer(socket, id, from, cutAfter).then(() => answering.delete(socket))
+      void answer(socket, id, from, ends).then(() => answering.delete(socket))
     })
   })
   await new Promise<void>(resolve => server.listen(0, IP, resolve))
@@ -125,9 +134,11 @@
 
 /** Nobody is left to resume the streams. */
 const BOX_KILLED = 'the box is killed'
+/** The question what follows the last event gets no event, though some follow. */
+const RESTS_END_EARLY = 'their upstreams end them, and what is asked for next, and live on'
 
 /** Who ends streams before their last event, half of the way through. */
-const ENDS: Record<string, { cutAfter?: number; end(world: World): void | Promise<void> }> = {
+const ENDS: Record<string, EarlyEnds & { end(world: World): void | Promise<void> }> = {
   [BOX_KILLED]: { end: ({ box }) => void box.kill('SIGKILL') },
   'their upstream ends': { end: ({ first }) => endProcess(first) },
   'their upstream leaves and ends': {
@@ -138,17 +149,22 @@
     },
   },
   'their upstream ends them and lives on': { cutAfter: EVENTS / 2, end: () => undefined },
+  [RESTS_END_EARLY]: { cutAfter: EVENTS / 2, emptyRests: STREAMS, end: () => undefined },
 }
 
+/** Nobody can be asked for the rest, or nobody tells. */
+const UNRESUMABLE: ReadonlySet<string> = new Set([BOX_KILLED, RESTS_END_EARLY])
+
 describe('a stream without a length that ends early on a real box', () => {
   const closing: (() => unknown)[] = []
   afterEach(async () => {
     for (const close of closing.splice(0).reverse()) await close()
   })
 
-  async function start(cutAfter: CutAfter, retrySlack: number): Promise<World> {
-    const first = await startUpstream(cutAfter)
-    const second = await startUpstream(undefined)
+  async function start(ends: EarlyEnds, retrySlack: number): Promise<World> {
+    const { emptyRests = 0 } = ends
+    const first = await startUpstream({ ...ends })
+    const second = await startUpstream({ emptyRests })
     for (const { server, answering } of [first, second])
       closing.push(() => {
         server.close()
@@ -177,8 +193,8 @@
   }
 
   async function play(name: string, retrySlack = RETRY_SLACK.some): Promise<Seen[]> {
-    const { cutAfter, end } = ENDS[name]!
-    const world = await start(cutAfter, retrySlack)
+    const { end, ...ends } = ENDS[name]!
+    const world = await start(ends, retrySlack)
     const streams = Array.from({ length: STREAMS }, (_, index) =>
       askStream(world.entry, `stream-${index}`),
     )
@@ -201,7 +217,7 @@
       )
     }).timeout(30_000)
 
-  for (const name of Object.keys(ENDS).filter(name => name !== BOX_KILLED))
+  for (const name of Object.keys(ENDS).filter(name => !UNRESUMABLE.has(name)))
     it(`is resumed and reaches its caller whole if ${name}`, async () => {
       expect(countWhole(await play(name)), 'whole streams').to.equal(STREAMS)
     }).timeout(30_000)
