The line of a stream tells its framing, its last event and what its caller had before

An attempt tells isUnframed and after, the line resumesAfter, lastEvent and endsBy. No logic is changed.

--- a/packages/gateway/src/requests/attemptLog.ts
+++ b/packages/gateway/src/requests/attemptLog.ts
@@ -20,6 +20,10 @@
    * its budget, the retries in it with this one, and how many it allowed.
    */
   budget?: { age: Milliseconds; retries: number; allowed: number }
+  /** The event that the upstream was asked to go on after. */
+  after?: string
+  /** The answer has neither a length nor chunks, so that its end is that of its connection. */
+  isUnframed?: boolean
   /** Time of the first bytes of an answer, since the request's arrival. */
   heard?: Milliseconds
   /** Reported by the model, 0 to 100. */
@@ -61,6 +65,7 @@
     list: ListInUse,
     model: string | undefined,
     paidFrom: TightestWindow | undefined,
+    after: string | undefined,
   ): void {
     const { id, version } = listed
     const from = this.#sinceArrival()
@@ -74,6 +79,7 @@
       from,
       ...(room !== undefined && { room }),
       ...(paidFrom && { budget: roundedWindow(paidFrom) }),
+      ...(after !== undefined && { after }),
     })
   }
 
@@ -89,11 +95,12 @@
     return this.records.at(-1)?.pieces ?? 0
   }
 
-  /** Records when the head of the answer came, and its rate limit, drain notice and Retry-After. */
-  recordHead({ fields: { limit, isLeaving, retryAfter } }: ResponseHead): void {
+  /** Records when the head of the answer came, its framing and what it tells of its upstream. */
+  recordHead({ fields: { limit, isLeaving, retryAfter, isFramed } }: ResponseHead): void {
     const record = this.records.at(-1)
     if (!record) return
     record.heard = this.#sinceArrival()
+    if (!isFramed) record.isUnframed = true
     if (limit !== undefined) record.limit = limit
     if (isLeaving) record.isLeaving = isLeaving
     if (retryAfter !== undefined) record.retryAfter = retryAfter
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -16,6 +16,7 @@
 } from './exchangeWithUpstream.js'
 import type { ForwardedRequest } from './forwardedRequest.js'
 import { GatheredBody } from './gatheredBody.js'
+import type { StreamFields } from './logRequest.js'
 import type { WatchedStream } from './stallWatch.js'
 
 /**
@@ -58,6 +59,7 @@
   const relay = new EventRelay(request.answer, request.kept)
   const { models } = request.route
   const isResumable = request.route.isResumable
+  request.describeStream = () => describe(request, relay)
   let model = models[0]
   let last: { head: ResponseHead; body: Buffer } | undefined
   let isUnproven = false
@@ -107,6 +109,15 @@
   request.fail(request.mayHaveRun ? 'no answer began' : 'no upstream took the request')
 }
 
+function describe({ admitted }: ForwardedRequest, relay: EventRelay): StreamFields {
+  const { lastEventId } = admitted.fields
+  return {
+    ...(lastEventId !== undefined && { resumesAfter: lastEventId }),
+    ...(relay.lastId !== undefined && { lastEvent: relay.lastId }),
+    ...(relay.hasStarted && { endsBy: relay.isFramed ? 'chunk' : 'close' }),
+  }
+}
+
 function attemptStream(
   request: ForwardedRequest,
   upstream: Upstream,
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -22,7 +22,7 @@
 } from './exchangeWithUpstream.js'
 import { AttemptTracker } from './attemptTracker.js'
 import { hasSenderEnded } from './hasSenderEnded.js'
-import { logRequest, NOT_RUN_STATUS } from './logRequest.js'
+import { logRequest, NOT_RUN_STATUS, type StreamFields } from './logRequest.js'
 import { AttemptLog } from './attemptLog.js'
 import { AnswerEvidence } from './answerEvidence.js'
 import { relayToBox } from './relayToBox.js'
@@ -54,6 +54,8 @@
   readonly #attemptLog: AttemptLog
   readonly #suspect: SuspectRequest
   readonly #crashProbe: CrashProbe
+  /** What its log line tells of the stream that answers it. */
+  describeStream: (() => StreamFields) | undefined
   /** What its answers say of the versions of upstreams. */
   readonly evidence: AnswerEvidence
   #lastAttempt: SentAttempt | undefined
@@ -275,7 +277,8 @@
     this.#attempts.recordSent()
     upstream.advertised.sentSinceLog++
     const { listInUse } = services.upstreams
-    this.#attemptLog.begin(upstream, listInUse, fields.model, this.#attempts.takePaidFrom())
+    const paidFrom = this.#attempts.takePaidFrom()
+    this.#attemptLog.begin(upstream, listInUse, fields.model, paidFrom, fields.lastEventId)
     const heldRoom = services.rooms.hold(upstream, this.#search.roomNeed)
     this.#heldRoom = heldRoom
     const exchange = exchangeWithUpstream(
@@ -506,6 +509,7 @@
       attempts: this.#attemptLog.records,
       sends: this.#attempts.attempts,
       wait: this.#search.roomWaitFields,
+      stream: this.describeStream?.(),
     })
     this.#onFinish?.()
   }
--- a/packages/gateway/src/requests/logRequest.ts
+++ b/packages/gateway/src/requests/logRequest.ts
@@ -17,13 +17,25 @@
   sends: number
   /** What the wait for room adds. */
   wait: object
+  /** Undefined for a call. */
+  stream: StreamFields | undefined
+}
+
+/** What the line of a stream tells of its end, which callers and other boxes may see otherwise. */
+export interface StreamFields {
+  /** The last event that its caller had before, of an answer that may have been another box's. */
+  resumesAfter?: string
+  /** The last event that was passed on. */
+  lastEvent?: string
+  /** What ends the answer for its caller: the last chunk, or its connection. */
+  endsBy?: 'chunk' | 'close'
 }
 
 /** Writes the log line of a finished request, and counts it. */
 export function logRequest(
   services: GatewayServices,
   { request, fields, route, organisation, service, deadline }: AdmittedRequest,
-  { outcome, status, digest, attempts, sends, wait }: RequestEnd,
+  { outcome, status, digest, attempts, sends, wait, stream }: RequestEnd,
 ): void {
   const { clock, metrics, log, operators, upstreams } = services
   const now = clock.now()
@@ -46,6 +58,7 @@
       ...(status === NOT_RUN_STATUS && { held: upstreams.countRestricted(service) }),
       sends,
       ...wait,
+      ...stream,
     },
     outcome !== 'delivered',
   )
