A run that ended before its first event proves no end of a stream

Cause: a run without a length and without an event was taken as the proof that nothing follows, though an early end looks just so. Class: an end taken as proof that an early end can look like. A run is asked to repeat the last event that the caller has: one that ends before it proves nothing and counts as a failure, one that repeats it and sends nothing more agrees with the first. The repeated event is dropped. A caller that comes back for the rest has seen an answer end after its event, so that the first run for it is asked to repeat that, and no retry is needed for its end. A stream whose route can be resumed is in chunks also if its first event has no id. Two tests of gateway.test.ts said which event was asked for, and that two runs without events suffice: they ask for the event before now, and for its repetition, which is more.

--- a/packages/box/src/requests/eventStream.ts
+++ b/packages/box/src/requests/eventStream.ts
@@ -4,7 +4,8 @@
 import { ByteQueue } from './byteQueue.js'
 
 const LINE_END = '\n'.charCodeAt(0)
-const EVENT_END = Buffer.from('\n\n')
+/** Ends each event. */
+export const EVENT_END = Buffer.from('\n\n')
 const DONE = Buffer.from('data: [DONE]')
 const USAGE = Buffer.from('"usage":{')
 /** A blank may follow it, which belongs to no value. */
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -7,6 +7,7 @@
 import type { PrefillTracker } from '../tasks/engineWork.js'
 import type { Upstream } from '../types/upstream.js'
 import type { CrashSign } from './crashProbe.js'
+import { EndProof } from './endProof.js'
 import { EventRelay, type RelayOutcome } from './eventRelay.js'
 import {
   OUTCOME_OF_FAULT,
@@ -56,13 +57,13 @@
  * allows it.
  */
 export async function forwardStream(request: ForwardedRequest): Promise<void> {
-  const relay = new EventRelay(request.answer, request.kept)
-  const { models } = request.route
-  const isResumable = request.route.isResumable
+  const { models, isResumable } = request.route
+  const { lastEventId } = request.admitted.fields
+  const relay = new EventRelay(request.answer, request.kept, isResumable ? lastEventId : undefined)
+  const proof = new EndProof(relay, isResumable && lastEventId !== undefined)
   request.describeStream = () => describe(request, relay)
   let model = models[0]
   let last: { head: ResponseHead; body: Buffer } | undefined
-  let isUnproven = false
   request.onCutOff(reason => {
     if (relay.hasStarted) request.abort(reason)
   })
@@ -72,19 +73,18 @@
     if (request.isOver) return
     if (!upstream) break
     if (request.mustWaitAgain()) continue
-    const outcome = await attemptStream(request, upstream, prompt, relay, isUnproven)
+    const outcome = await attemptStream(request, upstream, prompt, relay, proof)
     if (outcome.type === 'over') return
     if (outcome.type === 'complete') {
       request.answer.end()
       request.finish('delivered', 200)
       return
     }
-    isUnproven = outcome.type === 'unproven'
-    if (isUnproven) {
+    if (outcome.type === 'unproven') {
       // Its upstream may have ended with it, as others would under the same request.
       await request.awaitWatch()
       if (request.isOver) return
-      // Whichever is asked for what follows proves the end; this one has read the prompt.
+      // Any can be asked to repeat the last event; this one has read the prompt.
       request.allowLastUpstream()
       continue
     }
@@ -100,7 +100,7 @@
   if (request.isOver) return
   if (relay.hasStarted)
     return request.abort(
-      isUnproven
+      proof.isSought
         ? 'the stream has no length and its end could not be proved'
         : 'the stream broke and could not go on elsewhere',
     )
@@ -123,10 +123,10 @@
   upstream: Upstream,
   prompt: PrefillWork,
   relay: EventRelay,
-  isAfterUnproven: boolean,
+  proof: EndProof,
 ): Promise<StreamOutcome> {
   return new Promise(resolve => {
-    new StreamAttempt(request, upstream, prompt, relay, isAfterUnproven, resolve).start()
+    new StreamAttempt(request, upstream, prompt, relay, proof, resolve).start()
   })
 }
 
@@ -149,8 +149,7 @@
     private readonly upstream: Upstream,
     private readonly prompt: PrefillWork,
     private readonly relay: EventRelay,
-    /** The attempt before ended in order after the last event that the caller has. */
-    private readonly isAfterUnproven: boolean,
+    private readonly proof: EndProof,
     private readonly resolve: (outcome: StreamOutcome) => void,
   ) {
     this.#startedAt = request.services.clock.now()
@@ -165,13 +164,14 @@
   start(): void {
     const { request, upstream, relay } = this
     const model = this.#model
-    relay.beginAttempt()
+    const repeatsLast = this.proof.isSought
+    relay.beginAttempt(repeatsLast)
     const { promptTokens } = request.admitted.fields
     const { id, service, version } = upstream.listed
     const isUsual = !request.services.rollouts.isOnTrial(service, version)
     this.#prefill = request.services.work.begin(id, this.prompt, promptTokens, isUsual)
     request.onFinish(() => this.#endEarly())
-    const lastEventId = this.#lastEventId
+    const lastEventId = relay.startOf(repeatsLast)
     const source = request.services.upstreams.copySource(this.prompt, upstream)
     const exchange = request.send(
       upstream,
@@ -252,13 +252,14 @@
     }
     this.#recordChunk()
     const outcome = this.relay.push(chunk, () => this.#startAnswer(head))
+    if (this.relay.hasNewEvents) this.proof.recordNewEvents()
     if (outcome !== 'in-order') this.#cancelAndFail('spoiled', FAULT_DETAILS[outcome])
   }
 
   #startAnswer(head: ResponseHead): void {
     const { request, relay } = this
     // Its caller can rely on the framing, so that the end has to be proved before it is written.
-    relay.isFramed = head.fields.isFramed || this.#canProveEnd
+    relay.isFramed = head.fields.isFramed || request.route.isResumable
     const headers = request.services.dialect.writeResponse(head.headers)
     request.answer.start(head.status, headers, relay.isFramed)
   }
@@ -285,29 +286,20 @@
     if (relay.hasPartialEvent || (!relay.hasStarted && !this.#mayBeEmpty))
       return this.#fail('reset', true, 'it ended early')
     if (head.fields.isFramed) return this.#complete(head)
-    if (relay.isFramed && !this.#canProveEnd)
-      return this.#fail('spoiled', true, 'its end cannot be seen')
     void request.hasEndedWithUpstream(upstream).then(hasEnded => {
       if (this.#isSettled) return
       if (hasEnded) this.#fail('reset', true, 'its upstream ended', 'end')
-      else if (relay.isFramed && !this.#isNothingLeft) this.#endUnproven()
+      else if (request.route.isResumable) this.#endWithoutLength(head)
       else this.#complete(head)
     })
   }
 
-  /** The last event that the caller has; undefined if it has none. */
-  get #lastEventId(): string | undefined {
-    return this.relay.lastId ?? this.request.admitted.fields.lastEventId
-  }
-
-  /** Whether an upstream can be asked for what follows the last event. */
-  get #canProveEnd(): boolean {
-    return this.request.route.isResumable && this.#lastEventId !== undefined
-  }
-
-  /** Asked for what follows the event after which another attempt ended, the upstream sent nothing. */
-  get #isNothingLeft(): boolean {
-    return this.isAfterUnproven && this.#chunkCount === 0
+  #endWithoutLength(head: ResponseHead): void {
+    if (!this.relay.canRepeat) return this.#fail('spoiled', true, 'its end cannot be seen')
+    const finding = this.proof.recordEnd()
+    if (finding === 'agreed') this.#complete(head)
+    else if (finding === 'unproven') this.#endUnproven()
+    else this.#fail('spoiled', true, 'it ended before the event that it was asked to repeat')
   }
 
   /** The stream ended in order, but whether that was after its last event is not known. */
@@ -330,8 +322,8 @@
     if (!relay.hasStarted) this.#startAnswer(head)
     request.recordAttempt(upstream, 'good', 'complete')
     request.evidence.recordOutcome(upstream, true)
-    // One without events ran nothing that could have crashed the upstream.
-    if (head.fields.isFramed && this.#chunkCount > 0) request.recordWholeStream()
+    // One without new events ran little that could have crashed the upstream.
+    if (head.fields.isFramed && relay.hasNewEvents) request.recordWholeStream()
     else if (!head.fields.isFramed) request.watchAfterEnd()
     this.#recordHoldingTime()
     if (this.#chunkCount >= MIN_PACE_CHUNKS) this.#recordPace()
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -179,7 +179,7 @@
   })
 
   // Guards against a stream that looks complete to its caller though the box or the upstream ended in its middle.
-  it('writes the end of a stream without a length once nothing is found to follow it', async () => {
+  it('writes the end of a stream without a length once a run that repeats its last event has nothing to follow it', async () => {
     for (const last of [3, 6]) {
       const endsAfter: UpstreamHandler = (message, response) => {
         const from = Number(message.headers['last-event-id'] ?? 0) + 1
@@ -194,7 +194,7 @@
       expect(text.endsWith('0\r\n\r\n')).to.equal(true)
       expect(text.match(/^id: \d$/gm)).to.deep.equal([1, 2, 3, 4, 5, 6].map(id => `id: ${id}`))
       const asked = upstream.requests.map(({ headers }) => headers['last-event-id'])
-      expect(asked).to.deep.equal([undefined, String(last)])
+      expect(asked).to.deep.equal([undefined, String(last - 1)])
     }
   })
 
@@ -215,13 +215,13 @@
       expect(text.endsWith('0\r\n\r\n')).to.equal(false)
     })
 
-    it('tells a caller that resumes after the last event so once two runs have sent nothing', async () => {
+    it('tells a caller that resumes after the last event so once a run has repeated that and sent nothing more', async () => {
       const upstream = await startUpstream('u1', unframed)
       const running = await start([upstream], { routes: [STREAM] })
       const { status, text, headers } = await sendRequest(running, { 'last-event-id': '6' })
       expect([status, text]).to.deep.equal([200, ''])
       expect(headers['transfer-encoding'] ?? headers['content-length']).to.be.a('string')
-      expect(upstream.requests).to.have.length(2)
+      expect(upstream.requests.map(({ headers }) => headers['last-event-id'])).to.deep.equal(['5'])
     })
   })
 
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -6,33 +6,46 @@
   startUpstream,
   type StandInUpstream,
   type TestGateway,
+  type UpstreamHandler,
 } from './testGateway.js'
 
 /** Events of a whole stream. */
 const EVENTS = 6
 
-/** How one run of an upstream ends: after this event, in order; as a whole stream does by default. */
+/** How one run ends: after this event, in order; as a whole stream does by default. */
 interface Run {
   endsAfter?: number
+  /** Something without an id comes before the first event. */
+  beginsWithout?: boolean
   /** The answer comes in chunks. */
   isFramed?: boolean
 }
 
-/** Starts an upstream whose runs end in turn as they are given, the last one ever after. */
-function startStreaming(id: string, runs: readonly Run[]): Promise<StandInUpstream> {
+/** Starts upstreams whose runs, at whichever, end in turn as they are given, the last one ever after. */
+async function startStreaming(runs: readonly Run[], count = 2): Promise<StandInUpstream[]> {
   let begun = 0
-  return startUpstream(id, ({ headers, socket }, response) => {
-    const { endsAfter = EVENTS, isFramed = false } = runs[Math.min(begun++, runs.length - 1)]!
+  const answer: UpstreamHandler = ({ headers, socket }, response) => {
+    const run = runs[Math.min(begun++, runs.length - 1)]!
+    const { endsAfter = EVENTS, isFramed = false, beginsWithout = false } = run
     const from = Number(headers['last-event-id'] ?? 0) + 1
     const head = { signed: '1', id: String(headers.id) }
-    let body = ''
+    let body = beginsWithout ? ': ready\n\n' : ''
     for (let event = from; event <= endsAfter; event++) body += `id: ${event}\ndata: x\n\n`
     if (isFramed) return void response.writeHead(200, head).end(body)
     const lines = Object.entries(head).map(([name, value]) => `${name}: ${value}\r\n`)
     socket.end(`HTTP/1.1 200 OK\r\n${lines.join('')}\r\n${body}`)
-  })
+  }
+  return Promise.all(
+    Array.from({ length: count }, (_, index) => startUpstream(`u${index}`, answer)),
+  )
 }
 
+/** The events that upstreams were asked to go on after, in turn, of one upstream. */
+const askedAfter = ({ requests }: StandInUpstream) =>
+  requests.map(({ headers }) => headers['last-event-id'])
+
+const ALL_EVENTS = Array.from({ length: EVENTS }, (_, index) => index + 1)
+
 describe('the end of a stream without a length', () => {
   const closing: { close(): unknown }[] = []
   afterEach(async () => {
@@ -66,12 +79,44 @@
   }
 
   it('is told in the line of its request: framing, last event and what the caller had', async () => {
-    const running = await start([await startStreaming('u1', [{}, { isFramed: true }])])
-    await ask(running, { 'last-event-id': '3' })
+    const running = await start(await startStreaming([{}, { isFramed: true }], 1))
+    await ask(running, { 'last-event-id': '4' })
     const line = running.requestLog.at(-1)! as Record<string, unknown>
-    expect(line).to.include({ resumesAfter: '3', lastEvent: '6', endsBy: 'chunk' })
+    expect(line).to.include({ resumesAfter: '4', lastEvent: '6', endsBy: 'chunk' })
     const [first, second] = line.tries as Record<string, unknown>[]
     expect([first!.isUnframed, second!.isUnframed]).to.deep.equal([true, undefined])
-    expect([first!.after, second!.after]).to.deep.equal(['3', '6'])
+    expect([first!.after, second!.after]).to.deep.equal(['3', '5'])
+  })
+
+  // Guards against a short stream that looks whole since the run that was asked for the rest ended early as well.
+  it('is not proved by a run that ends before the event that it was asked to repeat', async () => {
+    const runs = [{ endsAfter: 3 }, { endsAfter: 0 }, { isFramed: true }]
+    const running = await start(await startStreaming(runs))
+    expect(await ask(running)).to.deep.equal({ events: ALL_EVENTS, isWhole: true })
+  })
+
+  it('is not proved to a caller that comes back by a run that ends before it repeats its last event', async () => {
+    const running = await start(await startStreaming([{ endsAfter: 0 }, { isFramed: true }]))
+    const seen = await ask(running, { 'last-event-id': '3' })
+    expect(seen).to.deep.equal({ events: [4, 5, 6], isWhole: true })
+  })
+
+  it('is not written where every run ends before the event that it was asked to repeat', async () => {
+    const running = await start(await startStreaming([{ endsAfter: 3 }, { endsAfter: 0 }]))
+    expect(await ask(running)).to.deep.equal({ events: [1, 2, 3], isWhole: false })
+  })
+
+  it('is proved for a stream of one event by a run from its beginning', async () => {
+    const upstreams = await startStreaming([{ endsAfter: 1 }], 1)
+    const running = await start(upstreams)
+    expect(await ask(running)).to.deep.equal({ events: [1], isWhole: true })
+    expect(askedAfter(upstreams[0]!)).to.deep.equal([undefined, undefined])
+  })
+
+  // Guards against a stream that goes to the close since its first event has no id.
+  it('is proved for a stream that begins with something without an id', async () => {
+    const running = await start(await startStreaming([{ beginsWithout: true }], 1))
+    expect(await ask(running)).to.deep.equal({ events: ALL_EVENTS, isWhole: true })
+    expect(running.requestLog.at(-1)).to.include({ endsBy: 'chunk' })
   })
 })
