A third run has to agree where upstreams end streams early

Cause: two runs that end after the same event do so by chance with the share of early ends, squared; a third one of another upstream makes that rare. Nothing is told where all streams have a length.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -41,6 +41,7 @@
 import { LostRowsTask } from './tasks/lostRowsTask.js'
 import { OwnHeadroom } from './tasks/ownHeadroom.js'
 import { OperatorTask } from './tasks/operatorTask.js'
+import { EndWatch } from './tasks/endWatch.js'
 import { PathWatch } from './tasks/pathWatch.js'
 import { PauseWatch } from './tasks/pauseWatch.js'
 import { PeerTask } from './tasks/peerTask.js'
@@ -330,6 +331,7 @@
     hasRelay: service => relays.pick(service, []) !== undefined,
     onChange: announce,
   })
+  const ends = new EndWatch({ clock, log, told: () => peers.live(), onDoubt: announce })
   const reachability = new ReachabilityWatch({
     clock,
     probe,
@@ -382,6 +384,7 @@
       own: {
         state: reportedState(),
         paths: paths.report,
+        ...(ends.report && { ends: ends.report }),
         isStoreLost: reader.isStoreOut,
         headroom: headroom.measure(),
         answers: rollouts.answers,
@@ -587,6 +590,7 @@
     suspects,
     pauses,
     paths,
+    ends,
     relays,
     advertisements,
     boxCount: () => peers.liveCount + 1,
--- a/packages/gateway/src/requests/endProof.ts
+++ b/packages/gateway/src/requests/endProof.ts
@@ -1,3 +1,4 @@
+import type { EndKind } from '@yewkeel/decisions'
 import type { EventRelay } from './eventRelay.js'
 
 /**
@@ -6,6 +7,16 @@
  */
 export type EndFinding = 'agreed' | 'unproven' | 'early'
 
+export interface EndProofOptions {
+  relay: EventRelay
+  /** Its caller comes back for the rest of an earlier answer, whose end it has seen. */
+  isResumed: boolean
+  /** How many runs have to end after the same event. */
+  neededRuns(): number
+  /** It was found what the end in order of a run was. */
+  onFound(kind: EndKind): void
+}
+
 /**
  * Runs of a stream that end after the same event: one that ends in order may have ended early. A
  * second run is asked to repeat the last event, which one that ends before its first cannot do.
@@ -13,35 +24,53 @@
 export class EndProof {
   /** Runs that ended in order after the last event. */
   #runs: number
+  /** Those of them that this box has not seen. */
+  #callersRun: number
 
-  /**
-   * `isResumed`: its caller comes back for the rest of an earlier answer, whose end it has seen.
-   */
-  constructor(
-    private readonly relay: EventRelay,
-    isResumed: boolean,
-  ) {
+  constructor(private readonly options: EndProofOptions) {
+    const { relay, isResumed } = options
     this.#runs = isResumed && relay.canRepeat ? 1 : 0
+    this.#callersRun = this.#runs
   }
 
   /** Whether the next run is asked to repeat the last event, since one has ended after it. */
   get isSought(): boolean {
-    return this.#runs > 0 && this.relay.canRepeat
+    return this.#runs > 0 && this.options.relay.canRepeat
+  }
+
+  /** Another upstream is to be asked next: one run has agreed with the first. */
+  get seeksOther(): boolean {
+    return this.#runs > 1
   }
 
   /** Records that the current run of the relay has brought new events. */
   recordNewEvents(): void {
+    if (this.#runs > this.#callersRun) this.options.onFound('early')
     this.#runs = 0
+    this.#callersRun = 0
   }
 
   /** Records that the current run of the relay has ended in order, without a length. */
   recordEnd(): EndFinding {
-    const { hasNewEvents, hasRepeated } = this.relay
-    if (!hasNewEvents && !hasRepeated) return 'early'
+    const { relay, neededRuns, onFound } = this.options
+    if (!relay.hasNewEvents && !relay.hasRepeated) {
+      onFound('early')
+      return 'early'
+    }
     this.#runs++
-    return this.#runs >= NEEDED_RUNS ? 'agreed' : 'unproven'
+    if (this.#runs < neededRuns()) return 'unproven'
+    this.#recordAgreed()
+    return 'agreed'
   }
-}
 
-/** Runs that have to end after the same event. */
-const NEEDED_RUNS = 2
+  /** Records that the current run of the relay has ended, and had a framing that says so. */
+  recordFramedEnd(): void {
+    this.#runs++
+    if (!this.options.relay.hasNewEvents) this.#recordAgreed()
+  }
+
+  /** That a caller comes back does not tell how its earlier answer ended. */
+  #recordAgreed(): void {
+    if (this.#runs - this.#callersRun > 1) this.options.onFound('sound')
+  }
+}
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -60,7 +60,14 @@
   const { models, isResumable } = request.route
   const { lastEventId } = request.admitted.fields
   const relay = new EventRelay(request.answer, request.kept, isResumable ? lastEventId : undefined)
-  const proof = new EndProof(relay, isResumable && lastEventId !== undefined)
+  const { ends } = request.services
+  const { service } = request.admitted
+  const proof = new EndProof({
+    relay,
+    isResumed: isResumable && lastEventId !== undefined,
+    neededRuns: () => ends.neededRuns(service),
+    onFound: kind => ends.record(service, kind),
+  })
   request.describeStream = () => describe(request, relay)
   let model = models[0]
   let last: { head: ResponseHead; body: Buffer } | undefined
@@ -85,7 +92,7 @@
       await request.awaitWatch()
       if (request.isOver) return
       // Any can be asked to repeat the last event; this one has read the prompt.
-      request.allowLastUpstream()
+      if (!proof.seeksOther || !request.canMove(prompt)) request.allowLastUpstream()
       continue
     }
     if (outcome.type === 'doubted') {
@@ -285,7 +292,10 @@
     if (!isStream(head)) return this.#handleErrorResponse(head)
     if (relay.hasPartialEvent || (!relay.hasStarted && !this.#mayBeEmpty))
       return this.#fail('reset', true, 'it ended early')
-    if (head.fields.isFramed) return this.#complete(head)
+    if (head.fields.isFramed) {
+      this.proof.recordFramedEnd()
+      return this.#complete(head)
+    }
     void request.hasEndedWithUpstream(upstream).then(hasEnded => {
       if (this.#isSettled) return
       if (hasEnded) this.#fail('reset', true, 'its upstream ended', 'end')
--- a/packages/gateway/src/tasks/knownBoxes.ts
+++ b/packages/gateway/src/tasks/knownBoxes.ts
@@ -5,7 +5,7 @@
   type HeadroomLevel,
   type Milliseconds,
 } from '@yewkeel/decisions'
-import type { GatewayState, OwnReport, PathReport } from '../types/gossip.js'
+import type { EndReport, GatewayState, OwnReport, PathReport } from '../types/gossip.js'
 import type { BoxEntry } from '../types/ports.js'
 import { shortRunHash, type RelayedReport } from './relayedReports.js'
 import type { BoxAnswers } from './versionEvaluator.js'
@@ -24,6 +24,8 @@
   headroom: HeadroomLevel
   /** Only its own gossip carries them. */
   paths: PathReport | undefined
+  /** Only its own gossip carries them. */
+  ends: readonly EndReport[] | undefined
   /** Its answer counts by version; only its own gossip carries them. */
   answers: readonly AnswerCount[]
   lastReportAt: Milliseconds
@@ -125,8 +127,9 @@
   recordOwnReport(entry: BoxEntry, run: number, report: OwnReport, now: Milliseconds): boolean {
     const before = this.#boxes.get(entry.box)
     this.addEntry(entry)
-    const { headroom = UNKNOWN_HEADROOM, paths } = report
-    this.#record({ ...report, headroom, paths, entry, run: shortRunHash(run), lastReportAt: now })
+    const { headroom = UNKNOWN_HEADROOM, paths, ends } = report
+    const known = { headroom, paths, ends, entry, run: shortRunHash(run), lastReportAt: now }
+    this.#record({ ...report, ...known })
     return before?.state !== report.state
   }
 
@@ -146,7 +149,8 @@
     const answers = known?.run === run ? known.answers : []
     const paths = known?.run === run ? known.paths : undefined
     const lastReportAt = known?.run === run ? now : now + NEW_RUN_GRACE
-    const lasting = { answers, paths, entry, run }
+    const ends = known?.run === run ? known.ends : undefined
+    const lasting = { answers, paths, ends, entry, run }
     this.#record({ ...lasting, state, sequence, isStoreLost, headroom, lastReportAt })
     return true
   }
--- a/packages/gateway/src/types/gossip.ts
+++ b/packages/gateway/src/types/gossip.ts
@@ -1,5 +1,6 @@
 import type {
   AnswerCount,
+  EndCounts,
   HeadroomLevel,
   ListedUpstream,
   Milliseconds,
@@ -26,6 +27,11 @@
   lost: readonly string[]
 }
 
+/** What a box found the ends of a service's streams without a length to be, in the last minute. */
+export interface EndReport extends EndCounts {
+  service: string
+}
+
 /** The report of a box about itself. */
 export interface OwnReport {
   state: GatewayState
@@ -35,6 +41,8 @@
   isStoreLost: boolean
   /** Its paths to upstreams; undefined from older boxes. */
   paths?: PathReport
+  /** Ends of streams; undefined if it found nothing, and from older boxes. */
+  ends?: readonly EndReport[]
   /** What the box can bear beyond its present load; undefined from older boxes. */
   headroom?: HeadroomLevel
   /** Answer counts by version since the run began; empty unless a rollout is in progress. */
--- a/packages/gateway/src/types/services.ts
+++ b/packages/gateway/src/types/services.ts
@@ -6,6 +6,7 @@
 import type { LoadSharing } from '../tasks/loadSharing.js'
 import type { ToldLoads } from '../tasks/toldLoads.js'
 import type { OperatorTask } from '../tasks/operatorTask.js'
+import type { EndWatch } from '../tasks/endWatch.js'
 import type { PathWatch } from '../tasks/pathWatch.js'
 import type { PauseWatch } from '../tasks/pauseWatch.js'
 import type { ReachabilityWatch } from '../tasks/reachabilityWatch.js'
@@ -69,6 +70,8 @@
   pauses: PauseWatch
   /** Whether this box has paths to the upstreams. */
   paths: PathWatch
+  /** What is known of the ends of streams without a length. */
+  ends: EndWatch
   /** Other boxes that serve what this one has no path for. */
   relays: Relays
   advertisements: AdvertisementTask
--- a/packages/gateway/test/sharingPlan.test.ts
+++ b/packages/gateway/test/sharingPlan.test.ts
@@ -17,6 +17,7 @@
   isStoreLost: false,
   headroom: 5,
   paths: undefined,
+  ends: undefined,
   answers: [],
   lastReportAt: 0,
 })
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -106,6 +106,19 @@
     expect(await ask(running)).to.deep.equal({ events: [1, 2, 3], isWhole: false })
   })
 
+  // Guards against a short stream that looks whole since the second run ended early after the same event by chance.
+  it('takes a third run after the same event where upstreams end streams early', async () => {
+    const upstreams = await startStreaming([{ endsAfter: 3 }, {}])
+    const running = await start(upstreams)
+    await ask(running)
+    expect(running.events.map(({ name }) => name)).to.include('stream-ends')
+    const countRuns = () => upstreams.flatMap(({ requests }) => requests).length
+    const before = countRuns()
+    expect(await ask(running, { id: 'r2' })).to.deep.equal({ events: ALL_EVENTS, isWhole: true })
+    expect(countRuns() - before).to.equal(3)
+    expect(running.requestLog.at(-1)!.outcome).to.equal('delivered')
+  })
+
   it('is proved for a stream of one event by a run from its beginning', async () => {
     const upstreams = await startStreaming([{ endsAfter: 1 }], 1)
     const running = await start(upstreams)
