An end that no retry is left to prove waits, and is accepted where all ends were found sound

Cause: each proof is a repeat, and the budget of a box that has just started is two fifths of its requests, of one that runs long at most 0.81; a proof for each stream does not fit into it. Mend: an end waits up to 1.5 s until the whole of its proof can be paid. If it cannot be, the end is accepted where at least 16 runs of the service, at all boxes, were lately found sound and none early, and its upstream is still there; else it is broken off as before. A single early end at any box ends that for a minute. The line says isEndAccepted. Weighed: a larger share for a new box would exceed the budget where callers move from one box to others; half a window before in place of the mean gives no more in the first window; a report of an upstream says what a run has made, not whether more was to come.

--- a/packages/decisions/src/admission/retryShare.ts
+++ b/packages/decisions/src/admission/retryShare.ts
@@ -132,10 +132,10 @@
   return tightest!
 }
 
-/** Whether the budget allows a retry. */
-export function canRetry(share: RetryShare, boxes: number, now: Milliseconds): boolean {
+/** Whether the budget allows so many more retries. */
+export function canRetry(share: RetryShare, boxes: number, now: Milliseconds, count = 1): boolean {
   const { retries, allowed } = tightestWindow(share, boxes, now)
-  return retries <= allowed
+  return retries + count - 1 <= allowed
 }
 
 /**
--- a/packages/decisions/src/streams/endCounts.ts
+++ b/packages/decisions/src/streams/endCounts.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '../types/clock.js'
 
 /**
- * What the ends in order of streams without a length were found to be, by asking for what follows:
+ * What the ends in order of runs without a length were found to be, by asking for what follows:
  * `sound` after the last event, `early` before it though the upstream lives on.
  */
 export interface EndCounts {
@@ -22,14 +22,21 @@
 const SLOTS = 6
 /** With a larger share of early ends, a second run too often ends by chance after the same event. */
 const MAX_EARLY_SHARE_FOR_TWO_RUNS = 0.05
+/** Where three in ten are early, so many in a row are sound once in 300 times. */
+const MIN_SOUND_ENDS = 16
 
 export function createEndHistory(): EndHistory {
   return { slots: Array.from({ length: SLOTS }, () => ({ sound: 0, early: 0 })), newest: 0 }
 }
 
-export function recordStreamEnd(history: EndHistory, kind: EndKind, now: Milliseconds): void {
+export function recordStreamEnds(
+  history: EndHistory,
+  kind: EndKind,
+  runs: number,
+  now: Milliseconds,
+): void {
   advance(history, now)
-  history.slots[history.newest % SLOTS]![kind]++
+  history.slots[history.newest % SLOTS]![kind] += runs
 }
 
 /** The ends of the last minute. */
@@ -47,6 +54,11 @@
   return early > MAX_EARLY_SHARE_FOR_TWO_RUNS * (sound + early) ? 3 : 2
 }
 
+/** Whether ends are accepted that cannot be proved, since enough were found sound and none early. */
+export function areEndsSound({ sound, early }: EndCounts): boolean {
+  return early === 0 && sound >= MIN_SOUND_ENDS
+}
+
 /** Clears the slots that have become too old. */
 function advance(history: EndHistory, now: Milliseconds): void {
   const number = Math.floor(now / SLOT)
--- a/packages/gateway/src/requests/attemptTracker.ts
+++ b/packages/gateway/src/requests/attemptTracker.ts
@@ -82,9 +82,16 @@
     return this.#possibleRuns > 0
   }
 
-  /** Whether the attempt limit and the retry budget allow one more attempt. */
-  get canAttempt(): boolean {
-    return this.#isWithinLimit && (this.#isNextPaid || this.#canPayRetry)
+  /**
+   * Whether the attempt limit and the retry budget allow one more attempt, and the budget `count` of
+   * them, as far as the limit allows these.
+   */
+  canAttempt(count = 1): boolean {
+    const { share, sharingBoxes, clock, maxAttempts } = this.options
+    if (!this.#isWithinLimit) return false
+    const wanted = Math.min(count, maxAttempts - this.#attempts)
+    const unpaid = this.#isNextPaid ? wanted - 1 : wanted
+    return unpaid <= 0 || canRetry(share, sharingBoxes(), clock.now(), unpaid)
   }
 
   /** Claims one more attempt. The first send is free, others are paid from the retry budget. */
@@ -195,9 +202,4 @@
   get #isNextPaid(): boolean {
     return this.#sends <= this.#paidRetries
   }
-
-  get #canPayRetry(): boolean {
-    const { share, sharingBoxes, clock } = this.options
-    return canRetry(share, sharingBoxes(), clock.now())
-  }
 }
--- a/packages/gateway/src/requests/endProof.ts
+++ b/packages/gateway/src/requests/endProof.ts
@@ -13,8 +13,8 @@
   isResumed: boolean
   /** How many runs have to end after the same event. */
   neededRuns(): number
-  /** It was found what the end in order of a run was. */
-  onFound(kind: EndKind): void
+  /** It was found what the ends in order of so many runs were. */
+  onFound(kind: EndKind, runs: number): void
 }
 
 /**
@@ -22,6 +22,8 @@
  * second run is asked to repeat the last event, which one that ends before its first cannot do.
  */
 export class EndProof {
+  /** The end was accepted without the runs that it takes. */
+  isAccepted = false
   /** Runs that ended in order after the last event. */
   #runs: number
   /** Those of them that this box has not seen. */
@@ -38,6 +40,11 @@
     return this.#runs > 0 && this.options.relay.canRepeat
   }
 
+  /** How many more runs have to end after the last event. */
+  get missingRuns(): number {
+    return Math.max(0, this.options.neededRuns() - this.#runs)
+  }
+
   /** Another upstream is to be asked next: one run has agreed with the first. */
   get seeksOther(): boolean {
     return this.#runs > 1
@@ -45,7 +52,8 @@
 
   /** Records that the current run of the relay has brought new events. */
   recordNewEvents(): void {
-    if (this.#runs > this.#callersRun) this.options.onFound('early')
+    const runs = this.#runs - this.#callersRun
+    if (runs > 0) this.options.onFound('early', runs)
     this.#runs = 0
     this.#callersRun = 0
   }
@@ -54,7 +62,7 @@
   recordEnd(): EndFinding {
     const { relay, neededRuns, onFound } = this.options
     if (!relay.hasNewEvents && !relay.hasRepeated) {
-      onFound('early')
+      onFound('early', 1)
       return 'early'
     }
     this.#runs++
@@ -71,6 +79,7 @@
 
   /** That a caller comes back does not tell how its earlier answer ended. */
   #recordAgreed(): void {
-    if (this.#runs - this.#callersRun > 1) this.options.onFound('sound')
+    const runs = this.#runs - this.#callersRun
+    if (runs > 1) this.options.onFound('sound', runs)
   }
 }
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -18,6 +18,7 @@
 import type { ForwardedRequest } from './forwardedRequest.js'
 import { GatheredBody } from './gatheredBody.js'
 import type { StreamFields } from './logRequest.js'
+import { resolveUnprovenEnd } from './resolveUnprovenEnd.js'
 import type { WatchedStream } from './stallWatch.js'
 
 /**
@@ -66,11 +67,13 @@
     relay,
     isResumed: isResumable && lastEventId !== undefined,
     neededRuns: () => ends.neededRuns(service),
-    onFound: kind => ends.record(service, kind),
+    onFound: (kind, runs) => ends.record(service, kind, runs),
   })
-  request.describeStream = () => describe(request, relay)
+  request.describeStream = () => describe(request, relay, proof)
   let model = models[0]
   let last: { head: ResponseHead; body: Buffer } | undefined
+  /** The upstream that ended the stream after the last event, as far as is known. */
+  let endedAt: Upstream | undefined
   request.onCutOff(reason => {
     if (relay.hasStarted) request.abort(reason)
   })
@@ -82,26 +85,29 @@
     if (request.mustWaitAgain()) continue
     const outcome = await attemptStream(request, upstream, prompt, relay, proof)
     if (outcome.type === 'over') return
-    if (outcome.type === 'complete') {
-      request.answer.end()
-      request.finish('delivered', 200)
-      return
+    if (outcome.type === 'complete') return endWhole(request)
+    if (outcome.type === 'doubted') {
+      request.allowLastUpstream()
+      model = outcome.next
+      continue
     }
     if (outcome.type === 'unproven') {
       // Its upstream may have ended with it, as others would under the same request.
       await request.awaitWatch()
       if (request.isOver) return
+      endedAt = upstream
       // Any can be asked to repeat the last event; this one has read the prompt.
       if (!proof.seeksOther || !request.canMove(prompt)) request.allowLastUpstream()
-      continue
-    }
-    if (outcome.type === 'doubted') {
-      request.allowLastUpstream()
-      model = outcome.next
-      continue
-    }
-    last = outcome.type === 'answer' ? outcome : undefined
+    } else last = outcome.type === 'answer' ? outcome : undefined
     if (request.mayHaveRun && !isResumable) break
+    if (!endedAt || !proof.isSought) continue
+    const resolution = await resolveUnprovenEnd(request, proof, endedAt)
+    if (resolution === 'over') return
+    if (resolution === 'break-off') break
+    if (resolution === 'accept' && relay.hasStarted) {
+      proof.isAccepted = true
+      return endWhole(request)
+    }
   }
   await request.awaitCrashProbe()
   if (request.isOver) return
@@ -116,12 +122,22 @@
   request.fail(request.mayHaveRun ? 'no answer began' : 'no upstream took the request')
 }
 
-function describe({ admitted }: ForwardedRequest, relay: EventRelay): StreamFields {
+function endWhole(request: ForwardedRequest): void {
+  request.answer.end()
+  request.finish('delivered', 200)
+}
+
+function describe(
+  { admitted }: ForwardedRequest,
+  relay: EventRelay,
+  { isAccepted }: EndProof,
+): StreamFields {
   const { lastEventId } = admitted.fields
   return {
     ...(lastEventId !== undefined && { resumesAfter: lastEventId }),
     ...(relay.lastId !== undefined && { lastEvent: relay.lastId }),
     ...(relay.hasStarted && { endsBy: relay.isFramed ? 'chunk' : 'close' }),
+    ...(isAccepted && { isEndAccepted: true }),
   }
 }
 
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -198,9 +198,12 @@
     this.#onFinish = callback
   }
 
-  /** Whether the deadline, the attempt limit and the retry budget allow one more attempt. */
-  canAttempt(): boolean {
-    return this.#canStillSend && this.#attempts.canAttempt
+  /**
+   * Whether the deadline, the attempt limit and the retry budget allow one more attempt, and the
+   * budget `count` of them.
+   */
+  canAttempt(count = 1): boolean {
+    return this.#canStillSend && this.#attempts.canAttempt(count)
   }
 
   /** Claims one more attempt, paid from the retry budget where needed. */
@@ -394,6 +397,13 @@
     return hasSenderEnded(() => reachability.accepts(upstream), clock)
   }
 
+  /** Whether an upstream goes on some time after it ended an answer, and is not about to leave. */
+  async isStillThere(upstream: Upstream): Promise<boolean> {
+    const { reachability, upstreams } = this.services
+    if (upstream.advertised.isLeaving || upstream.listed.state !== 'ready') return false
+    return upstreams.isListed(upstream) && reachability.accepts(upstream)
+  }
+
   /** An upstream was found to take no connections: those that are open may stay silent for good. */
   recordUnreachable(upstream: Upstream): void {
     const attempt = this.#lastAttempt
--- a/packages/gateway/src/requests/logRequest.ts
+++ b/packages/gateway/src/requests/logRequest.ts
@@ -29,6 +29,8 @@
   lastEvent?: string
   /** What ends the answer for its caller: the last chunk, or its connection. */
   endsBy?: 'chunk' | 'close'
+  /** No retry was left to prove its end, which was accepted as those of other streams were sound. */
+  isEndAccepted?: boolean
 }
 
 /** Writes the log line of a finished request, and counts it. */
--- a/packages/gateway/src/tasks/endWatch.ts
+++ b/packages/gateway/src/tasks/endWatch.ts
@@ -1,9 +1,10 @@
 import {
   addEnds,
+  areEndsSound,
   countEnds,
   createEndHistory,
   neededRuns,
-  recordStreamEnd,
+  recordStreamEnds,
   type Clock,
   type EndCounts,
   type EndHistory,
@@ -38,13 +39,13 @@
     return report.length > 0 ? report : undefined
   }
 
-  /** Records what the end in order of a run was found to be. */
-  record(service: string, kind: EndKind): void {
+  /** Records what the ends in order of so many runs were found to be. */
+  record(service: string, kind: EndKind, runs = 1): void {
     const { clock, log, onDoubt } = this.options
     const neededBefore = this.neededRuns(service)
     const history = this.#histories.get(service) ?? createEndHistory()
     this.#histories.set(service, history)
-    recordStreamEnd(history, kind, clock.now())
+    recordStreamEnds(history, kind, runs, clock.now())
     const needed = this.neededRuns(service)
     if (needed === neededBefore) return
     log.event('stream-ends', { service, neededRuns: needed, ...this.#countAll(service) })
@@ -56,6 +57,11 @@
     return neededRuns(this.#countAll(service))
   }
 
+  /** Whether ends that cannot be proved are accepted. */
+  areSound(service: string): boolean {
+    return areEndsSound(this.#countAll(service))
+  }
+
   #count(history: EndHistory): EndCounts {
     return countEnds(history, this.options.clock.now())
   }
