Two answers to a call agree on its end by their length; a third is asked for where they differ

Two answers of the same length, above 0, agree: the call is whole, and delivered with a length, so that a box that is killed while it writes does not make half of it look whole.

--- a/packages/gateway/src/requests/forwardCall.ts
+++ b/packages/gateway/src/requests/forwardCall.ts
@@ -55,11 +55,11 @@
  */
 export async function forwardCall(request: ForwardedRequest): Promise<void> {
   let last: WholeAnswer | undefined
-  /** An answer without a length, which is delivered if no other comes. */
-  let unproven: WholeAnswer | undefined
+  /** Answers without a length, of which the longest is delivered if no other comes. */
+  const unproven: WholeAnswer[] = []
   request.onCutOff(reason => {
     if (request.isPassedOn) request.abort(reason)
-    else if (unproven) deliver(request, unproven)
+    else if (unproven.length > 0) deliver(request, longestOf(unproven))
   })
   while ((await request.mayRun()) && request.takeAttempt()) {
     const upstream = await request.findUpstream()
@@ -75,34 +75,38 @@
         ? recordFault(request, upstream, outcome, duration)
         : recordAnswer(request, upstream, outcome, duration)
     if (request.isPassedOn) return endPassedOn(request, last)
-    if (last?.kind === 'answer' && !unproven && mayAskAgain(request, last)) {
-      unproven = last
-      continue
+    if (last?.kind === 'answer') {
+      if (last.head.fields.isFramed) return deliver(request, last)
+      if (agreesWithOne(last, unproven)) return request.deliver(last.head, last.body, true)
+      unproven.push(last)
+      if (mayAskAgain(request)) continue
     }
-    if (last?.kind === 'answer') return deliver(request, fullerOf(last, unproven))
-    if (unproven) break
+    if (unproven.length > 0) break
     if (request.mayHaveRun && request.route.kind !== 'safe') break
   }
   await request.awaitCrashProbe()
   if (request.isOver) return
-  if (unproven) return deliver(request, unproven)
+  if (unproven.length > 0) return deliver(request, longestOf(unproven))
   if (last?.kind === 'failure' && !NOT_RUN_STATUSES.has(last.head.status))
     return deliver(request, last)
   request.fail(request.mayHaveRun ? 'no whole answer came' : 'no upstream took the request')
 }
 
 /**
- * Whether another upstream is asked, since the answer has no length: a reset of its connection can
+ * Whether another upstream is asked, since an answer has no length: a reset of its connection can
  * look like its end, and its caller could not tell half of it from the whole.
  */
-function mayAskAgain(request: ForwardedRequest, { head }: WholeAnswer): boolean {
-  return !head.fields.isFramed && request.route.kind === 'safe' && request.reserveAttempt()
+function mayAskAgain(request: ForwardedRequest): boolean {
+  return request.route.kind === 'safe' && request.reserveAttempt()
 }
 
-/** The answer to deliver of one or two: one that has a length, or the longer of two without. */
-function fullerOf(answer: WholeAnswer, earlier: WholeAnswer | undefined): WholeAnswer {
-  if (!earlier || answer.head.fields.isFramed) return answer
-  return answer.body.length < earlier.body.length ? earlier : answer
+/** Whether another answer ended after as many bytes; one without any may have ended before them. */
+function agreesWithOne({ body }: WholeAnswer, others: readonly WholeAnswer[]): boolean {
+  return body.length > 0 && others.some(other => other.body.length === body.length)
+}
+
+function longestOf(answers: readonly WholeAnswer[]): WholeAnswer {
+  return answers.reduce((one, other) => (other.body.length > one.body.length ? other : one))
 }
 
 function deliver(request: ForwardedRequest, { head, body }: WholeAnswer): void {
--- a/packages/gateway/src/requests/forwardedRequest.ts
+++ b/packages/gateway/src/requests/forwardedRequest.ts
@@ -453,11 +453,14 @@
       this.services.upstreams.recordFull(upstream, totalLoadOf(fields))
   }
 
-  /** Sends an upstream's complete answer to the caller unchanged. */
-  deliver(head: ResponseHead, body: Buffer): void {
+  /**
+   * Sends an upstream's complete answer to the caller unchanged. `isWhole`: it is known to be, though
+   * it may have no length of its own.
+   */
+  deliver(head: ResponseHead, body: Buffer, isWhole = false): void {
     if (this.isOver) return
     const headers = this.services.dialect.writeResponse(head.headers)
-    const { isFramed } = head.fields
+    const isFramed = head.fields.isFramed || isWhole
     // An unframed answer may be truncated; a length would make it look complete.
     if (isFramed) headers.push('content-length', String(body.length))
     this.answer.start(head.status, headers, isFramed)
