How a caller's earlier answer ended counts only where no end is early

Cause: that a caller comes back for the rest counted as a run that had ended after its event, though its answer may have been cut there, as this one was. It counts only while all ends of the service were lately found sound; else as many runs of this box have to agree as for any stream.

--- a/packages/gateway/src/requests/endProof.ts
+++ b/packages/gateway/src/requests/endProof.ts
@@ -9,8 +9,10 @@
 
 export interface EndProofOptions {
   relay: EventRelay
-  /** Its caller comes back for the rest of an earlier answer, whose end it has seen. */
+  /** Its caller comes back for the rest of an earlier answer, which may have been cut. */
   isResumed: boolean
+  /** Whether all ends of the service were lately found sound. */
+  areEndsSound(): boolean
   /** How many runs have to end after the same event. */
   neededRuns(): number
   /** So many runs were found to have ended after the last event. */
@@ -29,24 +31,27 @@
   /** The upstream of the latest of the runs that ended after the last event. */
   endedAt: Upstream | undefined
   /** Runs that ended in order after the last event. */
-  #runs: number
-  /** Those of them that this box has not seen. */
-  #callersRun: number
+  #runs = 0
+  /** The caller's earlier answer ended after the last event. */
+  #hasCallersRun: boolean
 
   constructor(private readonly options: EndProofOptions) {
-    const { relay, isResumed } = options
-    this.#runs = isResumed && relay.canRepeat ? 1 : 0
-    this.#callersRun = this.#runs
+    this.#hasCallersRun = options.isResumed
   }
 
   /** Whether the next run is asked to repeat the last event, since one has ended after it. */
   get isSought(): boolean {
-    return this.#runs > 0 && this.options.relay.canRepeat
+    return (this.#runs > 0 || this.#hasCallersRun) && this.options.relay.canRepeat
   }
 
   /** How many more runs have to end after the last event. */
   get missingRuns(): number {
-    return Math.max(0, this.options.neededRuns() - this.#runs)
+    return Math.max(0, this.options.neededRuns() - this.#agreeingRuns)
+  }
+
+  /** How an answer ended that this box has not seen counts only where none ends early. */
+  get #agreeingRuns(): number {
+    return this.#runs + (this.#hasCallersRun && this.options.areEndsSound() ? 1 : 0)
   }
 
   /** Another upstream is to be asked next: one run has agreed with the first. */
@@ -59,19 +64,19 @@
     if (this.endedAt) this.options.onEarly(this.endedAt)
     this.endedAt = undefined
     this.#runs = 0
-    this.#callersRun = 0
+    this.#hasCallersRun = false
   }
 
   /** Records that the current run of the relay has ended in order at the upstream, without a length. */
   recordEnd(upstream: Upstream): EndFinding {
-    const { relay, neededRuns, onEarly } = this.options
+    const { relay, onEarly } = this.options
     if (!relay.hasNewEvents && !relay.hasRepeated) {
       onEarly(upstream)
       return 'early'
     }
     this.endedAt = upstream
     this.#runs++
-    if (this.#runs < neededRuns()) return 'unproven'
+    if (this.missingRuns > 0) return 'unproven'
     this.#recordAgreed()
     return 'agreed'
   }
@@ -82,9 +87,7 @@
     if (!this.options.relay.hasNewEvents) this.#recordAgreed()
   }
 
-  /** That a caller comes back does not tell how its earlier answer ended. */
   #recordAgreed(): void {
-    const runs = this.#runs - this.#callersRun
-    if (runs > 1) this.options.onSound(runs)
+    if (this.#runs > 1) this.options.onSound(this.#runs)
   }
 }
--- a/packages/gateway/src/requests/forwardStream.ts
+++ b/packages/gateway/src/requests/forwardStream.ts
@@ -118,6 +118,7 @@
   return new EndProof({
     relay,
     isResumed: route.isResumable && fields.lastEventId !== undefined,
+    areEndsSound: () => ends.areSound(service),
     neededRuns: () => ends.neededRuns(service),
     onSound: runs => ends.record(service, 'sound', runs),
     onEarly: upstream =>
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -215,13 +215,14 @@
       expect(text.endsWith('0\r\n\r\n')).to.equal(false)
     })
 
-    it('tells a caller that resumes after the last event so once a run has repeated that and sent nothing more', async () => {
+    it('tells a caller that resumes after the last event so once two runs have repeated that and sent nothing more', async () => {
       const upstream = await startUpstream('u1', unframed)
       const running = await start([upstream], { routes: [STREAM] })
       const { status, text, headers } = await sendRequest(running, { 'last-event-id': '6' })
       expect([status, text]).to.deep.equal([200, ''])
       expect(headers['transfer-encoding'] ?? headers['content-length']).to.be.a('string')
-      expect(upstream.requests.map(({ headers }) => headers['last-event-id'])).to.deep.equal(['5'])
+      const asked = upstream.requests.map(({ headers }) => headers['last-event-id'])
+      expect(asked).to.deep.equal(['5', '5'])
     })
   })
 
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -111,6 +111,19 @@
     expect(seen).to.deep.equal({ events: [4, 5, 6], isWhole: true })
   })
 
+  // Guards against a caller that comes back to a cut stream, whose first run ends early after the event that it has.
+  it('is not proved to a caller that comes back by one run, unless all ends were lately found sound', async () => {
+    const runs = [{ endsAfter: 3 }, { isFramed: true }]
+    const unknown = await start(await startStreaming(runs))
+    const seen = await ask(unknown, { 'last-event-id': '3' })
+    expect(seen).to.deep.equal({ events: [4, 5, 6], isWhole: true })
+    const upstreams = await startStreaming([{}], 1)
+    const sound = await start(upstreams)
+    sound.gateway.services.ends.record('desk', 'sound', 16)
+    expect(await ask(sound, { 'last-event-id': '6' })).to.deep.equal({ events: [], isWhole: true })
+    expect(askedAfter(upstreams[0]!)).to.deep.equal(['5'])
+  })
+
   it('is not written where every run ends before the event that it was asked to repeat', async () => {
     const running = await start(await startStreaming([{ endsAfter: 3 }, { endsAfter: 0 }]))
     expect(await ask(running)).to.deep.equal({ events: [1, 2, 3], isWhole: false })
