Tests of real boxes wait until the box serves, and fail by themselves if it does not

They wait up to 30 s now, and say that the box did not serve if it does not. No check or bound of what is tested is changed; the time of endedEarly's tests goes from 30 to 60 s with the wait.

--- a/packages/soak/test/endedEarly.test.ts
+++ b/packages/soak/test/endedEarly.test.ts
@@ -9,6 +9,7 @@
   writeUpstream,
 } from '@yewkeel/platform/stand-ins'
 import { startSingleBox, type SingleBox } from './singleBox.js'
+import { waitUntilServing } from './waitUntilServing.js'
 
 const IP = `127.${1 + (process.pid % 250)}.243.1`
 const STREAMS = 24
@@ -21,8 +22,6 @@
 const RETRY_SLACK = { some: 4 * STREAMS, none: 0 }
 /** A box that has started uses the slack after one window. */
 const RETRY_WINDOW_MS = 1_000
-const READY_POLLS = 100
-const READY_POLL_INTERVAL_MS = 50
 /** Boxes know of a change of the list within this. */
 const LIST_DELAY_MS = 1_000
 
@@ -180,10 +179,9 @@
       retrySlack,
       retryWindow: RETRY_WINDOW_MS,
     })
-    for (let poll = 0; poll < READY_POLLS; poll++) {
-      if ((await askStream(started.entry, `ready-${poll}`)).events > 0) break
-      await sleep(READY_POLL_INTERVAL_MS)
-    }
+    await waitUntilServing(
+      async poll => (await askStream(started.entry, `ready-${poll}`)).events > 0,
+    )
     await sleep(RETRY_WINDOW_MS)
     return {
       ...started,
@@ -207,7 +205,7 @@
     // Guards against half an answer that its caller takes for all of it.
     it(`does not look whole if ${name}`, async () => {
       expect(countCut(await play(name)), 'cut streams that look whole').to.equal(0)
-    }).timeout(30_000)
+    }).timeout(60_000)
 
   for (const name of Object.keys(ENDS))
     // Guards against streams that look whole because no retry is left to prove their ends.
@@ -215,10 +213,10 @@
       expect(countCut(await play(name, RETRY_SLACK.none)), 'cut streams that look whole').to.equal(
         0,
       )
-    }).timeout(30_000)
+    }).timeout(60_000)
 
   for (const name of Object.keys(ENDS).filter(name => !UNRESUMABLE.has(name)))
     it(`is resumed and reaches its caller whole if ${name}`, async () => {
       expect(countWhole(await play(name)), 'whole streams').to.equal(STREAMS)
-    }).timeout(30_000)
+    }).timeout(60_000)
 })
--- a/packages/soak/test/servedBeside.ts
+++ b/packages/soak/test/servedBeside.ts
@@ -11,6 +11,7 @@
   writeUpstream,
 } from '@yewkeel/platform/stand-ins'
 import { startSingleBox, type SingleBox } from './singleBox.js'
+import { waitUntilServing } from './waitUntilServing.js'
 
 const OTHER_CALLERS = 60
 const OTHER_INTERVAL_MS = 50
@@ -19,7 +20,6 @@
 const OTHER_TIMEOUT_MS = 5_000
 /** Of the routes that are in trouble. */
 const TROUBLED_TIMEOUT_MS = 6_000
-const READY_POLLS = 100
 
 /** The status of a call, 0 if it failed, and how long it took in ms. */
 interface OtherAnswer {
@@ -81,10 +81,9 @@
   const configuration = { ...written, routes, ...limits }
   const limitsOfBox = memoryMegabytes === undefined ? {} : { memoryMegabytes }
   const started = await startSingleBox(ip, { configuration, upstreams }, closing, limitsOfBox)
-  for (let poll = 0; poll < READY_POLLS; poll++) {
-    if ((await callOther(ip, started.entry, `ready-${poll}`, agent)).status === 200) break
-    await sleep(OTHER_INTERVAL_MS)
-  }
+  await waitUntilServing(
+    async poll => (await callOther(ip, started.entry, `ready-${poll}`, agent)).status === 200,
+  )
   return started
 }
 
