Plain requests at the address for other boxes are refused

What callers saw: a request without an upgrade was accepted there and never answered; it kept its connection and its objects for as long as it liked.

Cause: the server of the links between boxes had no handler for requests.

Change: 426 Upgrade Required, and the connection is closed.

Evidence: the new test gets no answer on the code before and times out; it passes now.

--- a/packages/box/src/node/wsTransport.ts
+++ b/packages/box/src/node/wsTransport.ts
@@ -1,5 +1,5 @@
 import { timingSafeEqual } from 'node:crypto'
-import { createServer } from 'node:http'
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
 import type { Clock, Milliseconds, Timer } from '@yewkeel/decisions'
@@ -89,8 +89,8 @@
   async open(): Promise<string> {
     const { tls, listen } = this.options
     const server = tls
-      ? createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true })
-      : createServer()
+      ? createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true }, refusePlain)
+      : createServer(refusePlain)
     const reading = new RequestReading(server)
     this.#server = server as ReturnType<typeof createServer>
     this.#webSocketServer = new WebSocketServer({
@@ -306,6 +306,13 @@
   }
 }
 
+/** Only links between boxes are served. */
+function refusePlain(_message: IncomingMessage, response: ServerResponse): void {
+  response.writeHead(UPGRADE_REQUIRED, { upgrade: 'websocket', connection: 'close' }).end()
+}
+
+const UPGRADE_REQUIRED = 426
+
 function parseIdentity(text: string | string[] | undefined): PeerIdentity | undefined {
   if (typeof text !== 'string') return undefined
   try {
--- a/packages/box/test/wsTransport.test.ts
+++ b/packages/box/test/wsTransport.test.ts
@@ -166,6 +166,20 @@
     await transport.close()
   })
 
+  // Guards against requests without an upgrade that are kept and never answered.
+  it('are all that is served: a plain request is refused with status 426', async () => {
+    const { transport, address } = await openTransport('a')
+    const [host, port] = address.split(':')
+    const socket = connect(Number(port), host)
+    let answer = ''
+    socket.on('data', bytes => (answer += bytes.toString()))
+    const isClosed = new Promise(resolve => socket.once('close', resolve))
+    socket.write('GET / HTTP/1.1\r\nhost: box\r\n\r\n')
+    await isClosed
+    expect(answer).to.match(/^HTTP\/1.1 426 /)
+    await transport.close()
+  })
+
   it('are closed when the peer sends a frame that cannot be unpacked', async () => {
     const { transport, address } = await openTransport('a')
     transport.listen({ onMessage: () => {}, onConnected: () => {} })
