Connections of clients are bounded at each address of a box

Cause: nothing bounded the number of connections, at one address or in all.

A further connection takes the place of the one that has rested for longest without a whole request. Where all others are busy the new one is closed at the entry, the oldest one elsewhere, whose answers are short. Links between boxes don't count, only what is no link yet. A client of the readiness address, the directory or the metrics that neither sends nor reads for 10 s is disconnected. The product's own boxes have `limits.callerConnections`.

Weighed: a bound by caller's address.

Why it works: who rests gives way, so that a crowd that only holds connections shuts nobody out, and the rest of the descriptors is never given to clients.

--- a/packages/box/src/node/connectionReading.ts
+++ b/packages/box/src/node/connectionReading.ts
@@ -25,6 +25,14 @@
   bodyLeft: number | undefined
 }
 
+/** What the state of a connection changes for its server. */
+export interface ConnectionObserver {
+  /** Its request has been read whole. */
+  onRequestRead(): void
+  /** Its request has been answered. */
+  onRest(): void
+}
+
 /**
  * Hands the bytes of a connection to the HTTP parser up to the end of one request, and the next one
  * only when that is answered. The parser takes in all that it is given, which may be thousands of
@@ -42,7 +50,10 @@
   #isRefused = false
 
   /** Takes over a connection that an HTTP server has just accepted. */
-  constructor(private readonly socket: Socket) {
+  constructor(
+    private readonly socket: Socket,
+    private readonly observer: ConnectionObserver,
+  ) {
     this.#parse = socket.listeners('data') as ((bytes: Buffer) => void)[]
     socket.removeAllListeners('data')
     socket.on('data', this.#receive)
@@ -134,6 +145,7 @@
     this.#isInSlices = false
     this.#blankLines.reset()
     if (exchange.isAnswered) this.#settle()
+    else this.observer.onRequestRead()
   }
 
   #settle(): void {
@@ -141,6 +153,7 @@
     if (!exchange?.isAnswered || !exchange.message.complete) return
     this.#exchange = undefined
     if (this.#isRefused) return void this.socket.destroy()
+    this.observer.onRest()
     if (this.#unread.length > 0) this.#wait()
   }
 
--- a/packages/box/src/node/httpServer.ts
+++ b/packages/box/src/node/httpServer.ts
@@ -15,6 +15,8 @@
 export interface HttpServerOptions {
   /** `host:port`; port 0 binds any free port. */
   listen: string
+  /** Connections that are kept open; a further one takes the place of one that rests. */
+  maxConnections: number
   /** A larger request body is refused with status 413. */
   maxBodyBytes: number
   /** Limit on receiving the headers of a request. Milliseconds. */
@@ -55,7 +57,7 @@
   const server = options.tls
     ? createTlsServer({ ...options.tls, minVersion: 'TLSv1.2' }, listener)
     : createServer(listener)
-  new RequestReading(server)
+  new RequestReading(server, { maxConnections: options.maxConnections })
   server.headersTimeout = options.headerTimeout
   server.requestTimeout = options.idleTimeout
   server.keepAliveTimeout = options.idleTimeout
--- a/packages/box/src/node/runBox.ts
+++ b/packages/box/src/node/runBox.ts
@@ -101,6 +101,7 @@
   const { limits } = settings
   return startHttpServer({
     listen: settings.entry.listen,
+    maxConnections: limits.callerConnections,
     maxBodyBytes: limits.bodyBytes,
     headerTimeout: limits.headerMilliseconds,
     idleTimeout: limits.idleCallerMilliseconds,
@@ -110,6 +111,7 @@
   })
 }
 
+const MAX_OPERATOR_CONNECTIONS = 200
 const MAX_OPERATOR_BODY_BYTES = 32 * 1024 * 1024
 
 function startOperatorServer(
@@ -121,6 +123,7 @@
   const tls = readTlsFiles(settings.operators.tls)
   return startHttpServer({
     listen: settings.operators.listen,
+    maxConnections: MAX_OPERATOR_CONNECTIONS,
     maxBodyBytes: MAX_OPERATOR_BODY_BYTES,
     headerTimeout: settings.limits.headerMilliseconds,
     idleTimeout: settings.limits.idleCallerMilliseconds,
--- a/packages/box/src/node/wsTransport.ts
+++ b/packages/box/src/node/wsTransport.ts
@@ -26,8 +26,13 @@
   maxBacklogBytes?: number
   /** Minimum size of a frame to compress. Bytes; without it, frames aren't compressed. */
   compressionThresholdBytes?: number
+  /** Accepted connections that are no link yet; 200 by default. */
+  maxPendingConnections?: number
 }
 
+/** A peer opens its link as soon as it is connected. */
+const PENDING_TIMEOUT: Milliseconds = 10_000
+const MAX_PENDING_CONNECTIONS = 200
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 const RECONNECT_DELAY: Milliseconds = 500
 /**
@@ -91,7 +96,13 @@
     const server = tls
       ? createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true }, refusePlain)
       : createServer(refusePlain)
-    const reading = new RequestReading(server)
+    const reading = new RequestReading(server, {
+      maxConnections: this.options.maxPendingConnections ?? MAX_PENDING_CONNECTIONS,
+      closesOldest: true,
+    })
+    server.headersTimeout = PENDING_TIMEOUT
+    server.requestTimeout = PENDING_TIMEOUT
+    server.keepAliveTimeout = PENDING_TIMEOUT
     this.#server = server as ReturnType<typeof createServer>
     this.#webSocketServer = new WebSocketServer({
       noServer: true,
--- a/packages/box/src/types/settings.ts
+++ b/packages/box/src/types/settings.ts
@@ -77,6 +77,12 @@
     .strictObject({
       bodyBytes: z.number().int().positive().default(2_000_000),
       openRequests: z.number().int().positive().default(2_000),
+      callerConnections: z
+        .number()
+        .int()
+        .positive()
+        .default(4_000)
+        .describe('open connections of callers; a further one takes the place of one that rests'),
       headerMilliseconds: milliseconds.default(10_000),
       idleCallerMilliseconds: milliseconds.default(60_000),
       firstTokenMilliseconds: milliseconds.default(30_000),
--- a/packages/box/test/httpServer.test.ts
+++ b/packages/box/test/httpServer.test.ts
@@ -9,6 +9,7 @@
 ): Promise<HttpServer> {
   return startHttpServer({
     listen: '127.0.0.1:0',
+    maxConnections: 100,
     maxBodyBytes: 100,
     headerTimeout: 10_000,
     idleTimeout: 10_000,
--- a/packages/box/test/requestReading.test.ts
+++ b/packages/box/test/requestReading.test.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { connect, type AddressInfo, type Socket } from 'node:net'
 import { expect } from 'chai'
-import { BlankLines, RequestReading } from '../src/index.js'
+import { BlankLines, RequestReading, type RequestReadingOptions } from '../src/index.js'
 
 const HEAD = 'GET /1 HTTP/1.1\r\nhost: box\r\n\r\n'
 const MAX_TURNS = 100_000
@@ -26,12 +26,15 @@
   let held: ServerResponse[]
   let callers: Caller[]
 
-  async function start(isHeld: boolean): Promise<void> {
+  async function start(
+    isHeld: boolean,
+    options: RequestReadingOptions = { maxConnections: 10 },
+  ): Promise<void> {
     handled = []
     held = []
     callers = []
     server = createServer((message, response) => void handle(message, response, isHeld))
-    reading = new RequestReading(server)
+    reading = new RequestReading(server, options)
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   }
 
@@ -117,9 +120,45 @@
     expect(handled.length).to.equal(1)
   })
 
+  it('closes the connection that has rested for longest to take another', async () => {
+    await start(false, { maxConnections: 2 })
+    const [first, second] = [open(), open()]
+    for (const { socket } of [second, first]) {
+      socket.write(HEAD)
+      await until(() => answersOf(first) + answersOf(second) === (socket === second.socket ? 1 : 2))
+    }
+    const third = open()
+    await until(() => second.isClosed)
+    third.socket.write(HEAD)
+    first.socket.write(HEAD)
+    await until(() => answersOf(third) === 1 && answersOf(first) === 2)
+  })
+
+  it('closes a new connection while requests are under way on all others', async () => {
+    await start(true, { maxConnections: 1 })
+    const first = open()
+    first.socket.write(HEAD)
+    await until(() => held.length === 1)
+    const second = open()
+    await until(() => second.isClosed)
+    held[0]!.end('done')
+    await until(() => answersOf(first) === 1)
+  })
+
+  it('closes the oldest connection instead if it is told to', async () => {
+    await start(true, { maxConnections: 1, closesOldest: true })
+    const first = open()
+    first.socket.write(HEAD)
+    await until(() => held.length === 1)
+    const second = open()
+    await until(() => first.isClosed)
+    second.socket.write(HEAD)
+    await until(() => held.length === 2)
+  })
+
   // Guards against many connections that each send ahead as much as one may.
   it('answers the request and closes the connection if all connections have sent too much ahead', async () => {
-    await start(true)
+    await start(true, { maxConnections: 1_000 })
     const crowd = Array.from({ length: 400 }, () => open())
     for (const { socket } of crowd) socket.write(HEAD.repeat(2_000))
     await until(() => held.length === 400)
--- a/packages/gateway/src/node/entryServer.ts
+++ b/packages/gateway/src/node/entryServer.ts
@@ -25,6 +25,8 @@
   /** Connections of an opened entry wait until this is true, or for a short timeout. */
   isReady(): boolean
   clock: Clock
+  /** Connections of callers that are kept open. */
+  maxConnections: number
   bodyBytes(): number
   /** What the box keeps for callers. */
   kept: KeptBytes
@@ -79,7 +81,7 @@
       readInSlices: () => reading.readInSlices(message.socket),
     })
   })
-  const reading = new RequestReading(server)
+  const reading = new RequestReading(server, { maxConnections: options.maxConnections })
   server.headersTimeout = DEFAULT_HEADER_TIMEOUT
   server.requestTimeout = 0
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -1,6 +1,12 @@
 import { createServer, type Server, type ServerResponse } from 'node:http'
 import { RequestReading, WsTransport, type Log, type PeerIdentity } from '@yewkeel/box'
-import { sleep, type Clock, type Milliseconds, type Random } from '@yewkeel/decisions'
+import {
+  createConnectionLimits,
+  sleep,
+  type Clock,
+  type Milliseconds,
+  type Random,
+} from '@yewkeel/decisions'
 import { createGateway, type Gateway } from '../createGateway.js'
 import type { GatewayMessage } from '../types/gossip.js'
 import type { Dialect, EventLog, Store } from '../types/ports.js'
@@ -64,6 +70,7 @@
 export async function runGateway(options: RunGatewayOptions): Promise<RunningGateway> {
   const { settings, clock, log } = options
   const metrics = createGatewayMetrics()
+  const connectionLimits = createConnectionLimits(settings.machine)
   const identity: PeerIdentity = {
     box: settings.box,
     incarnation: options.incarnation,
@@ -79,6 +86,7 @@
     log: peerLog(log),
     maxBacklogBytes: MAX_GOSSIP_BACKLOG_BYTES,
     compressionThresholdBytes: MIN_COMPRESSED_BYTES,
+    maxPendingConnections: connectionLimits.peers,
   })
   const gateway = createGateway({
     ...options,
@@ -96,6 +104,7 @@
     ...(options.openedEntry && { opened: options.openedEntry }),
     isReady: () => gateway.isReady(),
     clock,
+    maxConnections: connectionLimits.entry,
     bodyBytes: () =>
       gateway.services.operators.index?.configuration.limits.bodyBytes ?? DEFAULT_MAX_BODY_BYTES,
     kept: gateway.services.kept,
@@ -109,17 +118,17 @@
   const peerAddress = await transport.open()
   gateway.start()
   const servers = [
-    await serveText(settings.listen.readiness, (target, response) => {
+    await serveText(settings.listen.readiness, connectionLimits.readiness, (target, response) => {
       const isReady = target === options.readinessPath && gateway.isReady()
       response.writeHead(isReady ? 200 : 503).end()
     }),
-    await serveText(settings.listen.directory, (target, response) =>
+    await serveText(settings.listen.directory, connectionLimits.directory, (target, response) =>
       answerDirectory(options, gateway, target, response),
     ),
   ]
   if (settings.listen.metrics) {
     servers.push(
-      await serveText(settings.listen.metrics, (target, response) => {
+      await serveText(settings.listen.metrics, connectionLimits.metrics, (target, response) => {
         if (target !== options.metricsPath) return void response.writeHead(404).end()
         void metrics.text().then(text => response.end(text))
       }),
@@ -209,12 +218,18 @@
   response.end(options.writeDirectoryAnswer({ addresses, lifetime }))
 }
 
+/** A client that neither sends nor reads for so long is disconnected. */
+const TEXT_CLIENT_TIMEOUT: Milliseconds = 10_000
+
+/** Serves short texts, of which no client needs more than one connection for long. */
 async function serveText(
   listen: string,
+  maxConnections: number,
   handle: (target: string, response: ServerResponse) => void,
 ): Promise<Server> {
   const server = createServer((request, response) => handle(request.url ?? '/', response))
-  new RequestReading(server)
+  new RequestReading(server, { maxConnections, closesOldest: true })
+  server.setTimeout(TEXT_CLIENT_TIMEOUT)
   await listenOn(server, listen)
   return server
 }
--- a/packages/gateway/test/entryServer.test.ts
+++ b/packages/gateway/test/entryServer.test.ts
@@ -29,6 +29,7 @@
     listen: '127.0.0.1:0',
     clock,
     isReady: () => true,
+    maxConnections: 1_000,
     bodyBytes: () => 1_000,
     kept: createKeptBytes(clock),
     idOf: () => '',
--- a/packages/gateway/test/testBoxes.ts
+++ b/packages/gateway/test/testBoxes.ts
@@ -80,6 +80,7 @@
         listen: '127.0.0.1:0',
         isReady: () => true,
         clock,
+        maxConnections: 1_000,
         bodyBytes: () => content.limits.bodyBytes,
         get kept() {
           return box.gateway!.services.kept
--- a/packages/gateway/test/testGateway.ts
+++ b/packages/gateway/test/testGateway.ts
@@ -279,6 +279,7 @@
     listen: '127.0.0.1:0',
     isReady: () => gateway.isReady(),
     clock,
+    maxConnections: 1_000,
     bodyBytes: () => content.limits.bodyBytes,
     kept: gateway.services.kept,
     bodyDeadline: request => gateway.bodyDeadline(request),
--- a/packages/proof/test/misbehavingCallers.test.ts
+++ b/packages/proof/test/misbehavingCallers.test.ts
@@ -12,6 +12,8 @@
 const STAY_MS = 4_000
 const SERVED_WITHIN_MS = 30_000
 const POLL_INTERVAL_MS = 50
+/** Lowered, for a small crowd. */
+const MAX_CALLER_CONNECTIONS = 100
 /** The limits of all addresses, and what a box without a crowd has open. */
 const MAX_DESCRIPTORS = 600
 const KILOBYTES_PER_MEGABYTE = 1_024
@@ -49,6 +51,12 @@
   { what: 'plain HTTP', address: 'peers', repeated: writeRequest('GET /') },
 ].map(row => ({ ...row, connections: 40 }) as CrowdRow)
 
+const CONNECTIONS: CrowdRow[] = (['entry', 'operators', 'peers'] as const).map(address => ({
+  what: 'connections that send nothing',
+  address,
+  connections: 700,
+}))
+
 describe('a real box of the product beside callers that do not behave', () => {
   const closing: (() => unknown)[] = []
   const clock = createSystemClock()
@@ -64,6 +72,7 @@
         entry: { listen: own.entry },
         operators: { listen: own.operators },
         peers: { listen: own.peers, seeds: [], secret: 'shared-by-the-boxes-of-the-demo' },
+        limits: { callerConnections: MAX_CALLER_CONNECTIONS },
         logLevel: 'error',
       }),
     )
@@ -91,7 +100,7 @@
     ({ entry: box.entryAddress, operators: box.operatorsAddress, peers: box.peerAddress })[address]
 
   // Guards against a client whose requests or connections end a box or shut others out.
-  for (const { what, address, connections, repeated } of ROWS) {
+  for (const { what, address, connections, repeated } of [...ROWS, ...CONNECTIONS]) {
     const sent = repeated === undefined ? '' : 'requests sent ahead: '
     it(`lives on and serves others beside ${connections} at its ${address} address, ${sent}${what}`, async function () {
       this.timeout(120_000)
--- a/packages/soak/test/misbehavingCallers.test.ts
+++ b/packages/soak/test/misbehavingCallers.test.ts
@@ -85,6 +85,50 @@
   { what: 'plain HTTP', address: 'peers', repeated: getAtHost('/') },
 ].map(row => ({ ...row, connections: 40, bytes: 4 * MEGABYTE }) as CrowdRow)
 
+const BODY_BYTES = 95_000
+const UNFINISHED_BODY = writeRequest('unsafe', { body: 'x'.repeat(BODY_BYTES) }).slice(0, -1_000)
+const UNFINISHED_HEAD = `GET ${PATHS.safe} HTTP/1.1\r\nx-long: ${'x'.repeat(15_000)}`
+/** More than those of a machine without a crowd need, and few enough for a test. */
+const LOWERED_DESCRIPTORS = 600
+
+/** Many connections that each keep little. */
+const CONNECTIONS: CrowdRow[] = [
+  ...(['entry', 'readiness', 'directory', 'metrics', 'peers'] as const).map(address => ({
+    what: 'connections that send nothing',
+    address,
+    connections: 700,
+    descriptors: LOWERED_DESCRIPTORS,
+  })),
+  {
+    what: 'bodies that are not whole',
+    address: 'entry',
+    connections: 3_000,
+    first: UNFINISHED_BODY,
+    descriptors: 4_100,
+  },
+  {
+    what: 'unread answers of 1 MB',
+    address: 'entry',
+    connections: 1_500,
+    first: writeRequest('safe', { id: 'large' }),
+    descriptors: 4_100,
+  },
+  {
+    what: 'heads that are not whole',
+    address: 'entry',
+    connections: 3_000,
+    first: UNFINISHED_HEAD,
+    descriptors: 4_100,
+  },
+  {
+    what: 'heads that are not whole',
+    address: 'readiness',
+    connections: 3_000,
+    first: UNFINISHED_HEAD,
+    descriptors: 4_100,
+  },
+]
+
 describe('a real box beside callers that do not behave', () => {
   const closing: (() => unknown)[] = []
   afterEach(async () => {
@@ -155,7 +199,7 @@
   }
 
   // Guards against a client whose requests, bytes or connections end a box or shut others out.
-  for (const row of [...AHEAD, ...AHEAD_ELSEWHERE]) {
+  for (const row of [...AHEAD, ...AHEAD_ELSEWHERE, ...CONNECTIONS]) {
     const { what, address, connections, first, repeated, bytes, descriptors } = row
     const sent = repeated === undefined ? '' : 'requests sent ahead: '
     it(`lives on and serves others beside ${connections} at its ${address} address, ${sent}${what}`, async function () {
