Small bodies that are not whole are given up when memory is short

What callers saw: many bodies of up to 64 KB that never become whole come to more than all callers may keep (a fifth of the memory), and take it from others.

Cause: a body is always read on up to 64 KB, so that it is bounded one by one only; those that began while memory was free all grow to that.

Change: from 0.92 of the bound on, where new requests are rejected, a body that goes on arriving is given up as well (503, not run), small or large.

--- a/packages/decisions/src/flow/keptBytes.ts
+++ b/packages/decisions/src/flow/keptBytes.ts
@@ -86,6 +86,14 @@
   return bytes <= MIN_ALLOWANCE_BYTES || kept < endFrom
 }
 
+/**
+ * Whether bodies that arrive are given up at once, small ones too: together they may come to more
+ * than all may keep.
+ */
+export function mustGiveUp({ rejectFrom }: KeptLimits, kept: number): boolean {
+  return kept >= rejectFrom
+}
+
 /** Whether a body of `length` bytes can be kept at all now. */
 export function fitsBody({ total }: KeptLimits, kept: number, length: number): boolean {
   return length <= MIN_ALLOWANCE_BYTES || kept + length <= total
--- a/packages/gateway/src/node/readBody.ts
+++ b/packages/gateway/src/node/readBody.ts
@@ -72,7 +72,8 @@
     account.add('arriving', chunk.length)
     account.recordProgress()
     this.#samplePiece(chunk)
-    if (!account.mayReadOn) this.#waitForRoom()
+    if (account.mustGiveUp) this.stop()
+    else if (!account.mayReadOn) this.#waitForRoom()
   }
 
   /** Reads in slices once the pieces are small, and only as long as that is of use. */
--- a/packages/gateway/src/tasks/keptBytes.ts
+++ b/packages/gateway/src/tasks/keptBytes.ts
@@ -9,6 +9,7 @@
   isMemoryShort,
   KEPT_KINDS,
   mayReadOn,
+  mustGiveUp,
   type Clock,
   type EndReason,
   type KeptConnection,
@@ -66,6 +67,11 @@
     return !this.#isOn || mayReadOn(this.limits, this.#total, bytes)
   }
 
+  /** Whether bodies that arrive have to be given up. */
+  get mustGiveUp(): boolean {
+    return this.#isOn && mustGiveUp(this.limits, this.#total)
+  }
+
   /** Whether a body of this length can be kept now. */
   fitsBody(length: number): boolean {
     return !this.#isOn || (!this.isShort() && fitsBody(this.limits, this.#total, length))
@@ -171,6 +177,11 @@
     return this.kept.mayReadOn(this.bytes)
   }
 
+  /** Whether a body that arrives has to be given up. */
+  get mustGiveUp(): boolean {
+    return this.kept.mustGiveUp
+  }
+
   /** Whether a body of this length can be kept now. */
   fitsBody(length: number): boolean {
     return this.kept.fitsBody(length)
--- a/packages/gateway/test/entryServer.test.ts
+++ b/packages/gateway/test/entryServer.test.ts
@@ -14,12 +14,12 @@
 
 const REQUEST = 'GET /desk/1 HTTP/1.1\r\nhost: desk.example\r\n\r\n'
 
-function createKeptBytes(clock: ManualClock): KeptBytes {
+function createKeptBytes(clock: ManualClock, memoryBytes?: number): KeptBytes {
   return new KeptBytes({
     clock,
     log: { event() {}, request() {} },
     metrics: createGatewayMetrics(),
-    settings: TEST_SETTINGS,
+    settings: { ...TEST_SETTINGS, machine: { ...TEST_SETTINGS.machine, memoryBytes } },
   })
 }
 
@@ -256,3 +256,44 @@
       expect(handled.map(({ method }) => method)).to.have.members(['POST', 'POST', 'GET'])
     })
 })
+
+const MEMORY_BYTES = 5_000_000
+const UNFINISHED_BYTES = 50_000
+const UNFINISHED_BODIES = 60
+
+describe('an entry with many small bodies that are not whole', () => {
+  // Guards against a bound that each body stays below and all together do not.
+  it('keeps no more of them than it may, and hands the others on unread', async () => {
+    const clock = new ManualClock()
+    const kept = createKeptBytes(clock, MEMORY_BYTES)
+    let unread = 0
+    let most = 0
+    const entry = await startEntryServer({
+      ...entryDefaults(clock),
+      bodyBytes: () => 2 * UNFINISHED_BYTES,
+      kept,
+      handle(request, answer) {
+        if (request.isBodyUnread) unread++
+        answer.start(503, ['content-length', '0'], true)
+        answer.end()
+      },
+    })
+    const head = HEAD_OF_PIECES.replace('transfer-encoding: chunked', 'content-length: 60000')
+    const callers = Array.from({ length: UNFINISHED_BODIES }, () => {
+      const caller = connect(Number(entry.address.split(':')[1]), '127.0.0.1')
+      caller.write(`${head}x`)
+      return caller
+    })
+    // All have begun while memory is free.
+    while (kept.total < UNFINISHED_BODIES) await new Promise<void>(resolve => setImmediate(resolve))
+    for (const caller of callers) caller.write('x'.repeat(UNFINISHED_BYTES))
+    for (let turn = 0; turn < 20_000 && unread < UNFINISHED_BODIES / 3; turn++) {
+      await new Promise<void>(resolve => setImmediate(resolve))
+      most = Math.max(most, kept.total)
+    }
+    expect(unread).to.be.at.least(UNFINISHED_BODIES / 3)
+    expect(most).to.be.at.most(kept.limits.total)
+    for (const caller of callers) caller.destroy()
+    entry.close()
+  })
+})
