Connections to a TLS address that begin no handshake are bounded

What clients could do: the operators' address and that for other boxes, with TLS, count a connection once its handshake is complete, so that those that begin none take descriptors without a bound, each for up to two minutes.

Cause: a TLS server tells of a connection only after its handshake.

Change: the oldest connection without one is closed when there are more of them than the address may have connections.

Evidence: of eight connections without a handshake at an address for five, none was closed on the code before (the test times out); the first three are now.

--- a/packages/box/src/node/requestReading.ts
+++ b/packages/box/src/node/requestReading.ts
@@ -2,6 +2,7 @@
 import { Server as TlsServer } from 'node:https'
 import type { Socket } from 'node:net'
 import { ConnectionReading } from './connectionReading.js'
+import { limitHandshakes } from './limitHandshakes.js'
 
 export interface RequestReadingOptions {
   /**
@@ -26,8 +27,9 @@
     server: Server | TlsServer,
     private readonly options: RequestReadingOptions,
   ) {
-    const accepted = server instanceof TlsServer ? 'secureConnection' : 'connection'
-    server.on(accepted, (socket: Socket) => this.#accept(socket))
+    const isTls = server instanceof TlsServer
+    if (isTls) limitHandshakes(server, options.maxConnections)
+    server.on(isTls ? 'secureConnection' : 'connection', (socket: Socket) => this.#accept(socket))
     server.on('request', (message, response) => this.#begin(message, response))
     // The server would answer by itself, without a `request`.
     server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
--- a/packages/box/test/tls.test.ts
+++ b/packages/box/test/tls.test.ts
@@ -1,5 +1,6 @@
 import 'reflect-metadata'
 import { webcrypto } from 'node:crypto'
+import { connect } from 'node:net'
 import * as x509 from '@peculiar/x509'
 import { expect } from 'chai'
 import { createSystemClock } from '@yewkeel/decisions'
@@ -63,6 +64,7 @@
   box: string,
   tls: { cert: string; key: string; ca: string },
   logLines: string[] = [],
+  maxPendingConnections = 100,
 ) {
   const self: PeerIdentity = {
     box,
@@ -82,12 +84,35 @@
     tls,
     clock: createSystemClock(),
     log,
+    maxPendingConnections,
   })
   self.peerAddress = await transport.open()
   return { transport, address: self.peerAddress }
 }
 
 describe('peer links over TLS', () => {
+  // Guards against connections that begin no handshake and are not counted.
+  it('close the oldest connections without a handshake when there are too many', async () => {
+    const authority = await createAuthority('yewkeel')
+    const tls = await createTls(authority, authority)
+    const { transport, address } = await openTransport('a', tls, [], 5)
+    const [host, port] = address.split(':')
+    const closed: number[] = []
+    const sockets = []
+    for (let index = 0; index < 8; index++) {
+      const socket = connect(Number(port), host)
+      socket.resume()
+      socket.on('error', () => undefined)
+      socket.once('close', () => closed.push(index))
+      await new Promise(resolve => socket.once('connect', resolve))
+      sockets.push(socket)
+    }
+    while (closed.length < 3) await new Promise<void>(resolve => setImmediate(resolve))
+    expect(closed).to.eql([0, 1, 2])
+    for (const socket of sockets) socket.destroy()
+    await transport.close()
+  })
+
   it('connect when one authority issued both certificates', async () => {
     const authority = await createAuthority('boxes')
     const [a, b] = [
