--- a/packages/soak/test/misbehavingCallers.test.ts
+++ b/packages/soak/test/misbehavingCallers.test.ts
@@ -224,4 +224,22 @@
       if (descriptors !== undefined) expect(most, 'open descriptors').to.be.below(descriptors)
     })
   }
+
+  // Guards against a planned stop that waits for a crowd until it is killed.
+  it('ends when it is told to, beside callers that send requests ahead', async function () {
+    this.timeout(60_000)
+    const started = await startBox(undefined)
+    const crowd = new CallerCrowd({
+      host: IP,
+      port: started.entry,
+      connections: 40,
+      repeated: writeRequest('safe'),
+      bytes: 4 * MEGABYTE,
+    })
+    closing.push(() => crowd.leave())
+    await crowd.stay(1_000)
+    const ended = new Promise(resolve => started.box.once('exit', code => resolve(code)))
+    started.box.kill('SIGTERM')
+    expect(await ended, 'exit code').to.equal(0)
+  })
 })
